Add placement decisions

Cause: guarantees, whole gangs and fragmentation are decided in one place. A worker is a mask of up to eight accelerators, so cells are aligned masks and maximal free cells are counted by lookup. A guaranteed shape in use is bound to one physical cell; the state is safe while unbound shapes pack outside bound cells, which a greedy count decides exactly because cells split in halves. Ruled out: unbound sub-shapes (two accounts that each hold a quad on both of two workers leave no whole worker when one of them gives its quads back).

--- /dev/null
+++ b/crates/placement/src/scheduler/mod.rs
@@ -0,0 +1,559 @@
+//! Queues jobs, places gangs whole and preempts borrowers for guarantees.
+
+mod fit;
+mod health;
+mod pass;
+mod reserve;
+
+use crate::estimate::Estimator;
+use crate::grid::Cell;
+use crate::grid::Grid;
+use crate::grid::JobKey;
+use crate::grid::WorkerKey;
+use crate::grid::WorkerSpec;
+use crate::quota::AccountSpec;
+use crate::quota::QuotaBook;
+use crate::quota::QuotaError;
+use crate::shape::Shape;
+use crate::shape::ShapeCount;
+use health::Health;
+use reserve::Reservation;
+use smol_str::SmolStr;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// Enumerates the orders in which waiting jobs are tried.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Ordering {
+    /// By age; a job that does not fit blocks all later ones.
+    Fifo,
+    /// By response ratio, so that short jobs go first and no job waits for ever.
+    ResponseRatio,
+}
+
+/// Holds the choices of a scheduler.
+#[derive(Clone, Copy, Debug)]
+pub struct Policy {
+    /// The order of waiting jobs.
+    pub ordering: Ordering,
+    /// Whether cells are chosen by tightness instead of position.
+    pub best_fit: bool,
+    /// Whether guarantees are honoured.
+    pub guarantees: bool,
+    /// The wait after which the oldest large gang reserves cells; `None` never.
+    pub reserve_after: Option<Duration>,
+    /// The wait after which a reserving gang moves small borrowers; `None` never.
+    pub move_after: Option<Duration>,
+    /// The distinct workers on which a job may fail before it is parked.
+    pub max_failures: usize,
+}
+
+impl Default for Policy {
+    fn default() -> Self {
+        Self {
+            ordering: Ordering::ResponseRatio,
+            best_fit: true,
+            guarantees: true,
+            reserve_after: Some(Duration::from_secs(60)),
+            move_after: Some(Duration::from_secs(300)),
+            max_failures: 3,
+        }
+    }
+}
+
+impl Policy {
+    /// Returns the baseline that ignores guarantees and takes the first fit in order of age.
+    pub fn first_fit_fifo() -> Self {
+        Self {
+            ordering: Ordering::Fifo,
+            best_fit: false,
+            guarantees: false,
+            reserve_after: None,
+            move_after: None,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the baseline that chooses the tightest fit and reserves nothing.
+    pub fn best_fit() -> Self {
+        Self {
+            reserve_after: None,
+            move_after: None,
+            ..Self::default()
+        }
+    }
+}
+
+/// Enumerates the states of a job.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum JobState {
+    /// Waits for cells.
+    Waiting,
+    /// Cells are claimed; borrowers on them are being preempted.
+    Claimed,
+    /// The gang physically holds its cells.
+    Placed,
+    /// The gang is being stopped; its cells are not free yet.
+    Stopping,
+    /// The job is not tried; the text says why.
+    Parked(SmolStr),
+}
+
+/// Holds a job and its state.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// The unique name.
+    pub name: SmolStr,
+    /// The account's name.
+    pub account: SmolStr,
+    /// The cell of each member.
+    pub shape: Shape,
+    /// The number of members.
+    pub count: u32,
+    /// Whether it goes before others of its account.
+    pub urgent: bool,
+    /// The state.
+    pub state: JobState,
+    /// Whether it runs under its account's guarantee.
+    pub guaranteed: bool,
+    /// The cells that are claimed or held.
+    pub cells: Vec<Cell>,
+    /// When it was submitted, since the origin of the scheduler's clock.
+    pub submitted: Duration,
+    /// When its gang last took its cells.
+    pub started: Duration,
+    /// Workers on which it failed.
+    failures: BTreeSet<WorkerKey>,
+    /// Whether it goes back to the queue once its cells are free.
+    requeue: bool,
+    index: usize,
+}
+
+impl Job {
+    /// Creates a waiting job.
+    pub fn new(
+        name: impl Into<SmolStr>,
+        account: impl Into<SmolStr>,
+        shape: Shape,
+        count: u32,
+    ) -> Self {
+        Self {
+            name: name.into(),
+            account: account.into(),
+            shape,
+            count,
+            urgent: false,
+            state: JobState::Waiting,
+            guaranteed: false,
+            cells: Vec::new(),
+            submitted: Duration::ZERO,
+            started: Duration::ZERO,
+            failures: BTreeSet::new(),
+            requeue: false,
+            index: 0,
+        }
+    }
+
+    /// Returns the job marked as urgent.
+    pub fn urgent(mut self, urgent: bool) -> Self {
+        self.urgent = urgent;
+        self
+    }
+
+    /// Returns the accelerators of the whole gang.
+    pub fn accelerators(&self) -> u32 {
+        self.shape.accelerators() * self.count
+    }
+}
+
+/// Enumerates what the scheduler asks its owner to do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// Starts a gang on cells that are free and now marked as used.
+    Start {
+        /// The job.
+        job: JobKey,
+        /// The cells of all members.
+        cells: Vec<Cell>,
+        /// Whether the account's guarantee covers them.
+        guaranteed: bool,
+    },
+    /// Checkpoints and stops a whole gang; [`Scheduler::released`] must follow.
+    Stop {
+        /// The job.
+        job: JobKey,
+        /// Why, as a short phrase.
+        reason: &'static str,
+    },
+}
+
+/// Decides where and when gangs run in one region.
+#[derive(Clone, Debug)]
+pub struct Scheduler {
+    policy: Policy,
+    grid: Grid,
+    quotas: QuotaBook,
+    jobs: Vec<Option<Job>>,
+    free: Vec<JobKey>,
+    names: HashMap<SmolStr, JobKey>,
+    waiting: Vec<JobKey>,
+    claimed: Vec<JobKey>,
+    stops: Vec<Decision>,
+    /// Accelerators that each account uses, guaranteed or borrowed.
+    usage: Vec<u32>,
+    estimator: Estimator,
+    health: Health,
+    reservation: Option<Reservation>,
+}
+
+impl Scheduler {
+    /// Creates a scheduler without workers and accounts.
+    pub fn new(policy: Policy) -> Self {
+        Self {
+            policy,
+            grid: Grid::default(),
+            quotas: QuotaBook::default(),
+            jobs: Vec::new(),
+            free: Vec::new(),
+            names: HashMap::new(),
+            waiting: Vec::new(),
+            claimed: Vec::new(),
+            stops: Vec::new(),
+            usage: Vec::new(),
+            estimator: Estimator::default(),
+            health: Health::default(),
+            reservation: None,
+        }
+    }
+
+    /// Returns the workers.
+    pub fn grid(&self) -> &Grid {
+        &self.grid
+    }
+
+    /// Returns the guarantees.
+    pub fn quotas(&self) -> &QuotaBook {
+        &self.quotas
+    }
+
+    /// Returns a job.
+    pub fn job(&self, key: JobKey) -> Option<&Job> {
+        self.jobs.get(key.0 as usize)?.as_ref()
+    }
+
+    /// Returns the key of a job's name.
+    pub fn key(&self, name: &str) -> Option<JobKey> {
+        self.names.get(name).copied()
+    }
+
+    /// Lists every job that is not finished.
+    pub fn jobs(&self) -> impl Iterator<Item = (JobKey, &Job)> {
+        let entry = |(i, job): (usize, &'_ Option<Job>)| (JobKey(i as u32), job.is_some());
+        let keys: Vec<_> = self.jobs.iter().enumerate().map(entry).collect();
+        keys.into_iter()
+            .filter(|(_, live)| *live)
+            .filter_map(|(key, _)| Some((key, self.job(key)?)))
+    }
+
+    /// Returns how many jobs wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Lists the waiting jobs.
+    pub fn waiting_jobs(&self) -> impl Iterator<Item = &Job> {
+        self.waiting.iter().filter_map(|key| self.job(*key))
+    }
+
+    /// Replaces the accounts; no guarantee may shrink.
+    pub fn set_accounts(&mut self, accounts: Vec<AccountSpec>) -> Result<(), QuotaError> {
+        self.quotas.renew(&self.grid, accounts)?;
+        self.usage.resize(self.quotas.len(), 0);
+        Ok(())
+    }
+
+    /// Tells whether [`Scheduler::set_accounts`] would succeed.
+    pub fn check_accounts(&self, accounts: Vec<AccountSpec>) -> Result<(), QuotaError> {
+        self.quotas.clone().renew(&self.grid, accounts)
+    }
+
+    /// Takes over accounts that were accepted before.
+    pub fn restore_accounts(&mut self, accounts: Vec<AccountSpec>) -> Result<(), QuotaError> {
+        self.quotas.restore(accounts)?;
+        self.usage.resize(self.quotas.len(), 0);
+        Ok(())
+    }
+
+    /// Adds a worker or puts it back into service.
+    pub fn add_worker(&mut self, spec: WorkerSpec) -> WorkerKey {
+        let key = self.grid.add(spec);
+        self.grid.set_up(key, true);
+        self.unpark();
+        key
+    }
+
+    /// Takes a worker out of service and stops every gang that has a member on it.
+    pub fn fail_worker(&mut self, key: WorkerKey) {
+        self.quotas.drop_worker(key);
+        self.grid.set_up(key, false);
+        let lost: Vec<JobKey> = self
+            .jobs()
+            .filter(|(_, job)| job.cells.iter().any(|c| c.worker == key))
+            .map(|(job, _)| job)
+            .collect();
+        for job in lost {
+            self.stop(job, "worker lost", true);
+        }
+    }
+
+    /// Queues a job and returns its key.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the account is unknown; callers check it first.
+    pub fn submit(&mut self, mut job: Job, now: Duration) -> JobKey {
+        if let Some(key) = self.key(&job.name) {
+            return key;
+        }
+        job.index = self
+            .quotas
+            .index(&job.account)
+            .expect("the account is known");
+        job.submitted = now;
+        let key = self.free.pop().unwrap_or_else(|| {
+            self.jobs.push(None);
+            JobKey(self.jobs.len() as u32 - 1)
+        });
+        self.names.insert(job.name.clone(), key);
+        self.jobs[key.0 as usize] = Some(job);
+        self.waiting.push(key);
+        self.park_misfit(key);
+        key
+    }
+
+    /// Takes over a gang that already holds cells, after a change of placer.
+    pub fn adopt(&mut self, mut job: Job, cells: Vec<Cell>, now: Duration) -> JobKey {
+        job.cells = cells;
+        let key = self.submit(job, now);
+        self.waiting.retain(|k| *k != key);
+        let slot = self.jobs[key.0 as usize].as_mut();
+        let job = slot.expect("the job was just submitted");
+        let (index, cells) = (job.index, job.cells.clone());
+        let guaranteed = self.quotas.adopt(&mut self.grid, index, &cells);
+        job.guaranteed = guaranteed;
+        job.state = JobState::Placed;
+        job.started = now;
+        self.usage[index] += job.accelerators();
+        for cell in cells {
+            self.grid.occupy(cell, key);
+        }
+        key
+    }
+
+    /// Removes a job that no longer shall run; a gang that holds cells is stopped first.
+    pub fn cancel(&mut self, key: JobKey) {
+        let Some(job) = self.job(key) else { return };
+        match job.state {
+            JobState::Waiting | JobState::Parked(_) => {
+                self.waiting.retain(|k| *k != key);
+                self.forget(key);
+            }
+            JobState::Claimed | JobState::Placed => self.stop(key, "cancelled", false),
+            JobState::Stopping => self.job_mut(key).requeue = false,
+        }
+    }
+
+    /// Records that a gang finished its work; its cells stay used until released.
+    pub fn finished(&mut self, key: JobKey, now: Duration) {
+        let Some(job) = self.job(key).cloned() else {
+            return;
+        };
+        let runtime = now.saturating_sub(job.started);
+        self.estimator
+            .observe(job.index, job.shape, job.count, runtime);
+        for cell in &job.cells {
+            self.health.succeeded(cell.worker);
+        }
+        self.apply_health(&job.cells, now);
+        self.stop(key, "finished", false);
+    }
+
+    /// Records that a member of a gang failed on a worker.
+    ///
+    /// The gang is stopped and goes back to the queue, or is parked when it
+    /// failed on too many workers.
+    pub fn failed(&mut self, key: JobKey, worker: WorkerKey, now: Duration) {
+        let Some(job) = self.job(key) else { return };
+        let cells = job.cells.clone();
+        self.job_mut(key).failures.insert(worker);
+        self.health.failed(worker, key, now);
+        self.apply_health(&cells, now);
+        self.stop(key, "member failed", true);
+    }
+
+    /// Stops a gang through no fault of its own and queues its job again.
+    pub fn abandon(&mut self, key: JobKey) {
+        self.stop(key, "gang lost", true);
+    }
+
+    /// Tells in words why a job waits.
+    pub fn why_waiting(&self, key: JobKey) -> String {
+        let Some(job) = self.job(key) else {
+            return String::new();
+        };
+        let spec = self.quotas.spec(job.index);
+        let quota: crate::shape::Counts = spec.quota.iter().copied().collect();
+        let mut needs = crate::shape::Counts::default();
+        needs.add(job.shape, job.count);
+        let cover = if quota.packs(&needs) {
+            "its account's guarantee is in use"
+        } else {
+            "it exceeds its account's guarantee"
+        };
+        let ahead = self.reservation.as_ref().filter(|r| r.job != key);
+        let blocked = ahead.and_then(|r| self.job(r.job)).map(|j| j.name.clone());
+        let reserved = blocked.map_or(String::new(), |n| format!("; cells are reserved for {n}"));
+        format!(
+            "{cover}; {} of {} needed accelerators are idle{reserved}",
+            self.grid.idle(),
+            job.accelerators()
+        )
+    }
+
+    fn apply_health(&mut self, cells: &[Cell], now: Duration) {
+        for cell in cells {
+            let shunned = self.health.is_quarantined(cell.worker, now);
+            self.grid.set_shunned(cell.worker, shunned);
+        }
+    }
+
+    /// Tells whether borrowers are kept away from a worker.
+    pub fn is_quarantined(&self, worker: WorkerKey, now: Duration) -> bool {
+        self.health.is_quarantined(worker, now)
+    }
+
+    /// Records that every member of a stopped gang has given up its cells.
+    pub fn released(&mut self, key: JobKey) {
+        let Some(job) = self.job(key) else { return };
+        if job.state != JobState::Stopping {
+            return;
+        }
+        let cells = job.cells.clone();
+        for cell in &cells {
+            self.grid.vacate(*cell);
+        }
+        self.drop_claims(key);
+        let job = self.job_mut(key);
+        job.cells.clear();
+        if job.requeue {
+            self.requeue(key);
+        } else {
+            self.forget(key);
+        }
+    }
+
+    fn requeue(&mut self, key: JobKey) {
+        let limit = self.policy.max_failures;
+        let job = self.job_mut(key);
+        job.guaranteed = false;
+        job.requeue = false;
+        if job.failures.len() >= limit {
+            let reason = format!("failed on {} workers", job.failures.len());
+            job.state = JobState::Parked(reason.into());
+        } else {
+            job.state = JobState::Waiting;
+            self.waiting.push(key);
+        }
+    }
+
+    fn stop(&mut self, key: JobKey, reason: &'static str, requeue: bool) {
+        let Some(job) = self.jobs[key.0 as usize].as_mut() else {
+            return;
+        };
+        match job.state {
+            JobState::Stopping => job.requeue &= requeue,
+            JobState::Placed => {
+                job.state = JobState::Stopping;
+                job.requeue = requeue;
+                let (index, size) = (job.index, job.accelerators());
+                self.usage[index] -= size;
+                self.stops.push(Decision::Stop { job: key, reason });
+            }
+            JobState::Claimed => {
+                let (index, size) = (job.index, job.accelerators());
+                self.usage[index] -= size;
+                self.claimed.retain(|k| *k != key);
+                self.drop_claims(key);
+                self.job_mut(key).cells.clear();
+                if requeue {
+                    self.requeue(key);
+                } else {
+                    self.forget(key);
+                }
+            }
+            JobState::Waiting | JobState::Parked(_) => {}
+        }
+    }
+
+    fn drop_claims(&mut self, key: JobKey) {
+        let job = self.job_mut(key);
+        if !job.guaranteed {
+            return;
+        }
+        job.guaranteed = false;
+        let (index, cells) = (job.index, job.cells.clone());
+        self.quotas.release(&mut self.grid, index, &cells);
+    }
+
+    fn forget(&mut self, key: JobKey) {
+        if let Some(job) = self.jobs[key.0 as usize].take() {
+            self.names.remove(&job.name);
+            self.health.forget(key);
+            self.free.push(key);
+        }
+    }
+
+    fn job_mut(&mut self, key: JobKey) -> &mut Job {
+        let slot = self.jobs[key.0 as usize].as_mut();
+        slot.expect("the key names a live job")
+    }
+
+    /// Returns whether some set of workers in service could hold a gang.
+    pub fn could_fit(&self, shape: Shape, count: u32) -> bool {
+        let mut needs = crate::shape::Counts::default();
+        needs.add(shape, count);
+        self.grid.total().packs(&needs)
+    }
+
+    fn park_misfit(&mut self, key: JobKey) {
+        let job = self.job(key).expect("the key names a live job");
+        if self.could_fit(job.shape, job.count) {
+            return;
+        }
+        let total: Vec<ShapeCount> = (*self.grid.total()).into();
+        let have = total.iter().map(|e| format!("{} {:?}", e.count, e.shape));
+        let reason = format!(
+            "needs {} x {:?}; the workers in service have {}",
+            job.count,
+            job.shape,
+            have.collect::<Vec<_>>().join(", ")
+        );
+        self.waiting.retain(|k| *k != key);
+        self.job_mut(key).state = JobState::Parked(reason.into());
+    }
+
+    fn unpark(&mut self) {
+        let parked: Vec<JobKey> = self
+            .jobs()
+            .filter(|(_, j)| matches!(j.state, JobState::Parked(_)))
+            .filter(|(_, j)| j.failures.len() < self.policy.max_failures)
+            .filter(|(_, j)| self.could_fit(j.shape, j.count))
+            .map(|(key, _)| key)
+            .collect();
+        for key in parked {
+            self.job_mut(key).state = JobState::Waiting;
+            self.waiting.push(key);
+        }
+    }
+}
--- /dev/null
+++ b/crates/placement/src/scheduler/reserve.rs
@@ -0,0 +1,136 @@
+//! Reserves cells for the oldest gang that scattered borrowers keep from starting.
+
+use super::JobState;
+use super::Scheduler;
+use crate::grid::Cell;
+use crate::grid::JobKey;
+use crate::grid::WorkerKey;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Keeps other borrowers away from the cells that a gang waits for.
+#[derive(Clone, Debug)]
+pub(super) struct Reservation {
+    /// The gang that waits.
+    pub job: JobKey,
+    /// The reserved accelerators of each worker.
+    pub masks: BTreeMap<WorkerKey, u8>,
+    /// The reserved cells.
+    pub cells: Vec<Cell>,
+}
+
+impl Reservation {
+    /// Returns the reserved accelerators of a worker.
+    pub fn mask(&self, worker: WorkerKey) -> u8 {
+        self.masks.get(&worker).copied().unwrap_or(0)
+    }
+}
+
+impl Scheduler {
+    /// Renews the reservation: kept while its job waits and its workers serve.
+    pub(super) fn renew_reservation(&mut self, now: Duration) {
+        let Some(after) = self.policy.reserve_after else {
+            return;
+        };
+        if let Some(held) = &self.reservation {
+            let waits = self
+                .job(held.job)
+                .is_some_and(|j| j.state == JobState::Waiting);
+            let serves = held.cells.iter().all(|c| {
+                self.grid.present_mask(c.worker) & !self.grid.claimed_mask(c.worker) & c.mask
+                    == c.mask
+            });
+            if waits && serves {
+                return;
+            }
+        }
+        self.reservation = self.oldest_gang(now, after).and_then(|j| self.reserve(j));
+    }
+
+    /// Returns the gang that has waited longest, if longer than `after`.
+    fn oldest_gang(&self, now: Duration, after: Duration) -> Option<JobKey> {
+        let waiting = self
+            .waiting
+            .iter()
+            .filter_map(|k| Some((*k, self.job(*k)?)));
+        let stuck = waiting.filter(|(_, j)| now.saturating_sub(j.submitted) >= after);
+        stuck
+            .min_by_key(|(key, j)| (j.submitted, *key))
+            .map(|(key, _)| key)
+    }
+
+    /// Reserves the cells with the fewest accelerators in use.
+    fn reserve(&self, key: JobKey) -> Option<Reservation> {
+        let job = self.job(key)?;
+        let mut cells = Vec::new();
+        for worker in self.grid.workers() {
+            let open = self.grid.present_mask(worker) & !self.grid.claimed_mask(worker);
+            for mask in job.shape.masks().filter(|m| open & m == *m) {
+                let busy = (self.grid.used_mask(worker) & mask).count_ones();
+                let (rack, domain) = self.grid.location(worker);
+                cells.push((busy, domain, rack, Cell { worker, mask }));
+            }
+        }
+        if cells.len() < job.count as usize {
+            return None;
+        }
+        cells.sort_unstable();
+        cells.truncate(job.count as usize);
+        let cells: Vec<Cell> = cells.into_iter().map(|c| c.3).collect();
+        let mut masks = BTreeMap::new();
+        for cell in &cells {
+            *masks.entry(cell.worker).or_insert(0) |= cell.mask;
+        }
+        Some(Reservation {
+            job: key,
+            masks,
+            cells,
+        })
+    }
+
+    /// Stops small borrowers on reserved cells when idle cells elsewhere could take them.
+    pub(super) fn move_borrowers(&mut self, now: Duration) {
+        let Some(after) = self.policy.move_after else {
+            return;
+        };
+        let Some(held) = self.reservation.clone() else {
+            return;
+        };
+        let Some(job) = self.job(held.job) else {
+            return;
+        };
+        if now.saturating_sub(job.submitted) < after {
+            return;
+        }
+        let size = job.accelerators();
+        let mut victims: Vec<JobKey> = held
+            .cells
+            .iter()
+            .flat_map(|c| self.grid.users(*c))
+            .collect();
+        victims.sort_unstable();
+        victims.dedup();
+        let movable = |key: &JobKey| {
+            let small = |j: &super::Job| !j.guaranteed && j.accelerators() < size;
+            self.job(*key).is_some_and(small)
+        };
+        if victims.is_empty() || !victims.iter().all(movable) {
+            return;
+        }
+        let moved: u32 = victims
+            .iter()
+            .filter_map(|k| self.job(*k))
+            .map(|j| j.accelerators())
+            .sum();
+        let outside: u32 = self
+            .grid
+            .workers()
+            .map(|w| (self.grid.idle_mask(w) & !held.mask(w)).count_ones())
+            .sum();
+        if moved <= outside {
+            for victim in victims {
+                self.stop(victim, "moved for a larger gang", true);
+            }
+        }
+    }
+}
