--- /dev/null
+++ b/crates/coordination/src/admission.rs
@@ -0,0 +1,131 @@
+//! Slots of an upstream, shared fairly between accounts.
+
+use smol_str::SmolStr;
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Identifies a request in the admission of one upstream.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Ticket(pub u64);
+
+/// Tells whether a request may run.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Offer {
+    /// A slot is taken; the request runs now.
+    Run(Ticket),
+    /// The request waits for a slot.
+    Wait(Ticket),
+    /// Every queue is full; the request does not run.
+    Full,
+}
+
+/// Admits requests to a fixed number of slots, round-robin over accounts.
+///
+/// Each account may fill an equal share of the queue, so that a burst of one
+/// never keeps another out.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    slots: usize,
+    running: usize,
+    depth: usize,
+    next: u64,
+    queues: BTreeMap<SmolStr, VecDeque<(Ticket, Duration)>>,
+    turns: VecDeque<SmolStr>,
+}
+
+impl Admission {
+    /// Creates an admission with `slots` and a queue of `depth` for each account.
+    pub fn new(slots: usize, depth: usize) -> Self {
+        Self {
+            slots,
+            running: 0,
+            depth,
+            next: 0,
+            queues: BTreeMap::new(),
+            turns: VecDeque::new(),
+        }
+    }
+
+    /// Changes the number of slots; requests that run are not affected.
+    pub fn set_slots(&mut self, slots: usize) {
+        self.slots = slots;
+    }
+
+    /// Offers a request that is worthless after `deadline`.
+    pub fn offer(&mut self, account: &SmolStr, deadline: Duration) -> Offer {
+        let ticket = Ticket(self.next);
+        if self.running < self.slots {
+            self.next += 1;
+            self.running += 1;
+            return Offer::Run(ticket);
+        }
+        let queue = self.queues.entry(account.clone()).or_default();
+        if queue.len() >= self.depth {
+            return Offer::Full;
+        }
+        self.next += 1;
+        if queue.is_empty() {
+            self.turns.push_back(account.clone());
+        }
+        queue.push_back((ticket, deadline));
+        Offer::Wait(ticket)
+    }
+
+    /// Frees a slot and returns the request that takes it, if one waits.
+    ///
+    /// Requests whose deadline has passed are dropped and returned as well.
+    pub fn finish(&mut self, now: Duration) -> (Option<Ticket>, Vec<Ticket>) {
+        self.running -= 1;
+        let mut expired = Vec::new();
+        while self.running < self.slots {
+            let Some(account) = self.turns.pop_front() else {
+                break;
+            };
+            let Some(queue) = self.queues.get_mut(&account) else {
+                continue;
+            };
+            let Some((ticket, deadline)) = queue.pop_front() else {
+                continue;
+            };
+            if queue.is_empty() {
+                self.queues.remove(&account);
+            } else {
+                self.turns.push_back(account);
+            }
+            if deadline <= now {
+                expired.push(ticket);
+                continue;
+            }
+            self.running += 1;
+            return (Some(ticket), expired);
+        }
+        (None, expired)
+    }
+
+    /// Withdraws a waiting request; returns whether it was still waiting.
+    pub fn withdraw(&mut self, ticket: Ticket) -> bool {
+        for (account, queue) in &mut self.queues {
+            if let Some(i) = queue.iter().position(|(t, _)| *t == ticket) {
+                queue.remove(i);
+                if queue.is_empty() {
+                    let account = account.clone();
+                    self.turns.retain(|a| *a != account);
+                    self.queues.remove(&account);
+                }
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Returns the requests that run.
+    pub fn running(&self) -> usize {
+        self.running
+    }
+
+    /// Returns the requests that wait.
+    pub fn queued(&self) -> usize {
+        self.queues.values().map(VecDeque::len).sum()
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/membership/mod.rs
@@ -0,0 +1,23 @@
+//! Membership by gossip at constant cost a process, after the SWIM protocol.
+//!
+//! Each period a process probes one member, directly and then through others;
+//! news of members ride on probes and answers. The local health multiplier of
+//! Lifeguard lengthens the timeouts of a process that is itself slow. Source:
+//! Das, Gupta, Motivala: SWIM (DSN 2002); Dadgar, Phillips, Currey: Lifeguard
+//! (DSN-W 2018).
+
+mod message;
+mod swim;
+
+pub use message::Header;
+pub use message::Info;
+pub use message::Message;
+pub use message::News;
+pub use message::Payload;
+pub use message::Role;
+pub use message::State;
+pub use swim::Change;
+pub use swim::Member;
+pub use swim::Output;
+pub use swim::Swim;
+pub use swim::SwimTiming;
--- /dev/null
+++ b/crates/coordination/src/membership/swim.rs
@@ -0,0 +1,527 @@
+//! The membership state machine of one process.
+
+use super::message::Header;
+use super::message::Info;
+use super::message::Message;
+use super::message::News;
+use super::message::Payload;
+use super::message::Role;
+use super::message::State;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use rand::seq::IndexedRandom;
+use rand::seq::SliceRandom;
+use smol_str::SmolStr;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The members asked to probe in the place of one that cannot reach the target.
+const INDIRECT: usize = 3;
+/// The news that fit into one datagram of 1,200 bytes.
+const MAX_NEWS: usize = 8;
+/// The times that one piece of news is passed on, times the logarithm of the members.
+const SPREAD: u32 = 3;
+/// The periods for which a dead member is remembered.
+const TOMBSTONE_PERIODS: u32 = 120;
+/// The highest value of the local health multiplier.
+const MAX_STRAIN: u32 = 7;
+/// The periods, times the logarithm of the members, that a suspect has to object.
+const SUSPICION: u32 = 3;
+
+/// Holds the durations of the protocol.
+#[derive(Clone, Copy, Debug)]
+pub struct SwimTiming {
+    /// The time between probes.
+    pub period: Duration,
+    /// The wait for a direct answer.
+    pub timeout: Duration,
+}
+
+/// Holds what a process knows of another.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// The newest news.
+    pub news: News,
+    /// The highest configuration generation that it reported.
+    pub generation: u64,
+    since: Duration,
+}
+
+/// Tells the owner of a [`Swim`] what changed.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// A member has a new state or offers something else.
+    Member(SmolStr, State),
+    /// A peer has this configuration generation.
+    Generation(SocketAddr, u64),
+    /// A peer heard of this placer epoch.
+    Epoch(u64),
+}
+
+/// Enumerates what the owner of a [`Swim`] must do.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Output {
+    /// Sends a datagram.
+    Send(SocketAddr, Message),
+    /// Takes note of a change.
+    Change(Change),
+}
+
+#[derive(Clone, Debug)]
+struct Probe {
+    target: SmolStr,
+    seq: u64,
+    began: Duration,
+    indirect: bool,
+}
+
+/// Tracks the members of the system as one of them.
+#[derive(Clone, Debug)]
+pub struct Swim {
+    me: News,
+    generation: u64,
+    epoch: u64,
+    timing: SwimTiming,
+    members: BTreeMap<SmolStr, Member>,
+    /// News to pass on, with the times still to go.
+    gossip: HashMap<SmolStr, u32>,
+    /// Members in the order in which they are probed.
+    round: Vec<SmolStr>,
+    probe: Option<Probe>,
+    /// Pings sent on behalf of others: our number to their address and number.
+    relays: HashMap<u64, (SocketAddr, u64, Duration)>,
+    next: Duration,
+    seq: u64,
+    strain: u32,
+    rng: SmallRng,
+    outputs: Vec<Output>,
+}
+
+impl Swim {
+    /// Creates the state of a process that knows nobody.
+    pub fn new(name: impl Into<SmolStr>, info: Info, timing: SwimTiming, seed: u64) -> Self {
+        let me = News {
+            name: name.into(),
+            incarnation: info.life,
+            state: State::Alive,
+            info,
+        };
+        Self {
+            me,
+            generation: 0,
+            epoch: 0,
+            timing,
+            members: BTreeMap::new(),
+            gossip: HashMap::new(),
+            round: Vec::new(),
+            probe: None,
+            relays: HashMap::new(),
+            next: Duration::ZERO,
+            seq: 0,
+            strain: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            outputs: Vec::new(),
+        }
+    }
+
+    /// Returns what the process says of itself.
+    pub fn me(&self) -> &News {
+        &self.me
+    }
+
+    /// Lists the other members, dead ones included while they are remembered.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.members.values()
+    }
+
+    /// Returns a member by name.
+    pub fn member(&self, name: &str) -> Option<&Member> {
+        self.members.get(name)
+    }
+
+    /// Sets the configuration generation that the process reports.
+    pub fn set_generation(&mut self, generation: u64) {
+        self.generation = self.generation.max(generation);
+    }
+
+    /// Sets the placer epoch that the process passes on.
+    pub fn set_epoch(&mut self, epoch: u64) {
+        self.epoch = self.epoch.max(epoch);
+    }
+
+    /// Announces that the upstream offers something else.
+    pub fn set_service(&mut self, service: impl Into<SmolStr>, slots: u16) {
+        self.me.info.service = service.into();
+        self.me.info.slots = slots;
+        self.announce();
+    }
+
+    /// Announces that the process takes no more work.
+    ///
+    /// Every gateway is told directly, all others by gossip.
+    pub fn leave(&mut self) -> Vec<Output> {
+        self.me.state = State::Leaving;
+        self.announce();
+        self.tell_gateways();
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// Announces that the process is gone.
+    pub fn depart(&mut self) -> Vec<Output> {
+        self.me.state = State::Dead;
+        self.announce();
+        self.tell_gateways();
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// Tells every gateway the news of this process.
+    pub fn tell(&mut self) -> Vec<Output> {
+        self.tell_gateways();
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn announce(&mut self) {
+        self.me.incarnation += 1;
+        self.spread(self.me.name.clone());
+    }
+
+    fn tell_gateways(&mut self) {
+        let is_gateway = |m: &&Member| m.news.info.role == Role::Gateway;
+        let live = self.members.values().filter(is_gateway);
+        let live = live.filter(|m| m.news.state != State::Dead);
+        let addrs: Vec<SocketAddr> = live.map(|m| m.news.info.addr).collect();
+        for addr in addrs {
+            self.send(addr, Payload::Tell);
+        }
+    }
+
+    /// Asks known addresses to introduce the process.
+    pub fn join(&mut self, seeds: impl IntoIterator<Item = SocketAddr>) -> Vec<Output> {
+        for seed in seeds {
+            if seed != self.me.info.addr {
+                self.send(seed, Payload::Join);
+            }
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// Carries out what is due at `now`.
+    pub fn tick(&mut self, now: Duration) -> Vec<Output> {
+        self.check_probe(now);
+        self.expire(now);
+        if now >= self.next {
+            self.next = now + self.timing.period;
+            self.end_probe(now);
+            self.begin_probe(now);
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    /// Takes in a message that came from `addr`.
+    pub fn receive(&mut self, addr: SocketAddr, message: Message, now: Duration) -> Vec<Output> {
+        for news in message.news {
+            self.learn(news, now);
+        }
+        self.note_header(addr, &message.header);
+        match message.payload {
+            Payload::Ping { seq } => self.answer_ping(addr, seq, message.header.digest),
+            Payload::Ack { seq } => self.note_ack(seq),
+            Payload::Probe { seq, target } => {
+                self.seq += 1;
+                let ours = self.seq;
+                self.relays.insert(ours, (addr, seq, now));
+                self.send(target, Payload::Ping { seq: ours });
+            }
+            Payload::Join => self.introduce(addr),
+            Payload::Tell => {}
+        }
+        std::mem::take(&mut self.outputs)
+    }
+
+    fn note_header(&mut self, addr: SocketAddr, header: &Header) {
+        if let Some(member) = self.members.get_mut(&header.from) {
+            member.generation = member.generation.max(header.generation);
+        }
+        if header.generation > self.generation {
+            let change = Change::Generation(addr, header.generation);
+            self.outputs.push(Output::Change(change));
+        }
+        let sender = self.members.get(&header.from);
+        let local = sender.is_some_and(|m| m.news.info.region == self.me.info.region);
+        if local && header.epoch > self.epoch {
+            self.epoch = header.epoch;
+            self.outputs
+                .push(Output::Change(Change::Epoch(header.epoch)));
+        }
+    }
+
+    /// Answers a ping; a peer with another view gets a few members at random besides.
+    fn answer_ping(&mut self, addr: SocketAddr, seq: u64, digest: u32) {
+        let ack = Payload::Ack { seq };
+        if digest == self.digest() {
+            self.send(addr, ack);
+            return;
+        }
+        let mut news = self.pick_news();
+        let all: Vec<&Member> = self.members.values().collect();
+        let room = MAX_NEWS.saturating_sub(news.len());
+        let more: Vec<News> = all
+            .choose_multiple(&mut self.rng, room)
+            .map(|m| m.news.clone())
+            .collect();
+        news.extend(more);
+        self.send_news(addr, ack, news);
+    }
+
+    fn note_ack(&mut self, seq: u64) {
+        if let Some((addr, theirs, _)) = self.relays.remove(&seq) {
+            self.send(addr, Payload::Ack { seq: theirs });
+        }
+        if self.probe.as_ref().is_some_and(|p| p.seq == seq) {
+            self.probe = None;
+            self.strain = self.strain.saturating_sub(1);
+        }
+    }
+
+    fn introduce(&mut self, addr: SocketAddr) {
+        let all: Vec<News> = self
+            .members
+            .values()
+            .filter(|m| m.news.state != State::Dead)
+            .map(|m| m.news.clone())
+            .collect();
+        self.send(addr, Payload::Tell);
+        for chunk in all.chunks(MAX_NEWS - 1) {
+            let mut news = vec![self.me.clone()];
+            news.extend_from_slice(chunk);
+            self.send_news(addr, Payload::Tell, news);
+        }
+    }
+
+    fn learn(&mut self, news: News, now: Duration) {
+        if news.name == self.me.name {
+            self.object(&news);
+            return;
+        }
+        let held = self.members.get(&news.name);
+        let newer = held
+            .is_none_or(|m| (news.incarnation, news.state) > (m.news.incarnation, m.news.state));
+        if !newer || (held.is_none() && news.state == State::Dead) {
+            return;
+        }
+        let generation = held
+            .filter(|m| m.news.info.life == news.info.life)
+            .map_or(0, |m| m.generation);
+        let change = Change::Member(news.name.clone(), news.state);
+        if held.is_none_or(|m| m.news.state != news.state || m.news.info != news.info) {
+            self.outputs.push(Output::Change(change));
+        }
+        self.spread(news.name.clone());
+        let member = Member {
+            news,
+            generation,
+            since: now,
+        };
+        self.members.insert(member.news.name.clone(), member);
+    }
+
+    /// Overrides what others wrongly say of this process.
+    fn object(&mut self, news: &News) {
+        let wrong = news.state != self.me.state || news.info.life != self.me.info.life;
+        if news.incarnation < self.me.incarnation || !wrong {
+            return;
+        }
+        if news.state > self.me.state {
+            self.strain = (self.strain + 1).min(MAX_STRAIN);
+        }
+        self.me.incarnation = self.me.incarnation.max(news.incarnation);
+        self.announce();
+    }
+
+    fn spread(&mut self, name: SmolStr) {
+        let times = SPREAD * self.magnitude();
+        self.gossip.insert(name, times);
+    }
+
+    /// Returns the rounded-up binary logarithm of the number of members.
+    fn magnitude(&self) -> u32 {
+        (self.members.len() as u32 + 2).ilog2() + 1
+    }
+
+    fn begin_probe(&mut self, now: Duration) {
+        let Some(target) = self.next_target() else {
+            return;
+        };
+        self.seq += 1;
+        let seq = self.seq;
+        let addr = self.members[&target].news.info.addr;
+        self.probe = Some(Probe {
+            target,
+            seq,
+            began: now,
+            indirect: false,
+        });
+        self.send(addr, Payload::Ping { seq });
+    }
+
+    fn next_target(&mut self) -> Option<SmolStr> {
+        let is_live = |m: &Member| m.news.state != State::Dead;
+        for _ in 0..2 {
+            while let Some(name) = self.round.pop() {
+                if self.members.get(&name).is_some_and(is_live) {
+                    return Some(name);
+                }
+            }
+            self.round = self.members.keys().cloned().collect();
+            self.round.shuffle(&mut self.rng);
+        }
+        None
+    }
+
+    fn check_probe(&mut self, now: Duration) {
+        let timeout = self.timing.timeout * (self.strain + 1);
+        let Some(probe) = self.probe.as_mut() else {
+            return;
+        };
+        if probe.indirect || now < probe.began + timeout {
+            return;
+        }
+        probe.indirect = true;
+        let (seq, name) = (probe.seq, probe.target.clone());
+        let Some(target) = self.members.get(&name).map(|m| m.news.info.addr) else {
+            return;
+        };
+        let is_helper = |m: &&Member| m.news.state == State::Alive && m.news.name != name;
+        let helpers: Vec<SocketAddr> = self
+            .members
+            .values()
+            .filter(is_helper)
+            .map(|m| m.news.info.addr)
+            .collect();
+        let chosen: Vec<SocketAddr> = helpers
+            .choose_multiple(&mut self.rng, INDIRECT)
+            .copied()
+            .collect();
+        for helper in chosen {
+            self.send(helper, Payload::Probe { seq, target });
+        }
+        self.send(target, Payload::Ping { seq });
+    }
+
+    fn end_probe(&mut self, now: Duration) {
+        let Some(probe) = self.probe.take() else {
+            return;
+        };
+        let allowance = self.timing.timeout * (self.strain + 1);
+        if now < probe.began + allowance {
+            self.probe = Some(probe);
+            return;
+        }
+        self.strain = (self.strain + 1).min(MAX_STRAIN);
+        let Some(member) = self.members.get(&probe.target) else {
+            return;
+        };
+        if matches!(member.news.state, State::Alive | State::Leaving) {
+            let mut news = member.news.clone();
+            news.state = match news.state {
+                State::Leaving => State::Dead,
+                _ => State::Suspect,
+            };
+            self.learn(news, now);
+        }
+    }
+
+    fn expire(&mut self, now: Duration) {
+        let patience = self.timing.period * SUSPICION * self.magnitude() * (self.strain + 1);
+        let suspects = self
+            .members
+            .values()
+            .filter(|m| m.news.state == State::Suspect);
+        let overdue = suspects.filter(|m| now >= m.since + patience);
+        let dead: Vec<News> = overdue
+            .map(|m| News {
+                state: State::Dead,
+                ..m.news.clone()
+            })
+            .collect();
+        for news in dead {
+            self.learn(news, now);
+        }
+        let keep = self.timing.period * TOMBSTONE_PERIODS;
+        self.members
+            .retain(|_, m| m.news.state != State::Dead || now < m.since + keep);
+        self.relays
+            .retain(|_, (_, _, at)| now < *at + self.timing.period * 4);
+    }
+
+    fn digest(&self) -> u32 {
+        let live = self
+            .members
+            .values()
+            .filter(|m| m.news.state != State::Dead);
+        let others = live.map(|m| checksum(&m.news));
+        others.fold(checksum(&self.me), |sum, c| sum ^ c)
+    }
+
+    fn pick_news(&mut self) -> Vec<News> {
+        let mut names: Vec<(u32, SmolStr)> = self
+            .gossip
+            .iter()
+            .map(|(n, times)| (*times, n.clone()))
+            .collect();
+        names.sort_unstable_by(|a, b| b.cmp(a));
+        names.truncate(MAX_NEWS - 1);
+        let mut news = vec![self.me.clone()];
+        for (_, name) in names {
+            if let Some(times) = self.gossip.get_mut(&name) {
+                *times -= 1;
+            }
+            if let Some(member) = self.members.get(&name) {
+                news.push(member.news.clone());
+            }
+        }
+        self.gossip.retain(|_, times| *times > 0);
+        news
+    }
+
+    fn send(&mut self, addr: SocketAddr, payload: Payload) {
+        let news = self.pick_news();
+        self.send_news(addr, payload, news);
+    }
+
+    fn send_news(&mut self, addr: SocketAddr, payload: Payload, news: Vec<News>) {
+        let header = Header {
+            from: self.me.name.clone(),
+            generation: self.generation,
+            epoch: self.epoch,
+            digest: self.digest(),
+        };
+        let message = Message {
+            header,
+            payload,
+            news,
+        };
+        self.outputs.push(Output::Send(addr, message));
+    }
+
+    /// Returns a random number for the owner, from the same seeded source.
+    pub fn random(&mut self) -> u64 {
+        self.rng.random()
+    }
+}
+
+/// Returns a checksum of a member's name, incarnation and state (FNV-1a).
+fn checksum(news: &News) -> u32 {
+    let state = news.state as u8;
+    let bytes = news
+        .name
+        .bytes()
+        .chain(news.incarnation.to_le_bytes())
+        .chain([state]);
+    bytes.fold(0x811c_9dc5, |hash, byte| {
+        (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193)
+    })
+}
