Add shared types and the configuration format

Cause: roles, commands and stand-ins must agree on configuration, settings, jobs, orders, result codes and events. Faults of JSON with comments carry file, line, column and field: the serde path of the failing value is looked up in the syntax tree of the file. Ruled out: a hand-written parser; positions from serde alone (it has none for values that come from a tree).

--- /dev/null
+++ b/crates/model/src/document.rs
@@ -0,0 +1,117 @@
+//! Reads JSON with comments into typed values and locates each fault.
+
+use crate::code::Code;
+use crate::code::Fault;
+use crate::code::Place;
+use jsonc_parser::CollectOptions;
+use jsonc_parser::ParseOptions;
+use jsonc_parser::ast::Value;
+use jsonc_parser::common::Ranged;
+use serde::de::DeserializeOwned;
+
+/// The largest accepted file, in bytes.
+pub const MAX_FILE: usize = 16 << 20;
+
+/// Holds the text of a file so that a field path can be located in it.
+pub struct Document<'a> {
+    name: &'a str,
+    text: &'a str,
+}
+
+impl<'a> Document<'a> {
+    /// Creates a document from the name and text of a file.
+    pub fn new(name: &'a str, text: &'a str) -> Self {
+        Self { name, text }
+    }
+
+    /// Parses the text into a typed value.
+    ///
+    /// Fails with [`Code::Syntax`], [`Code::UnknownField`], [`Code::MissingField`],
+    /// [`Code::WrongType`] or [`Code::TooLarge`], each with its place.
+    pub fn parse<T: DeserializeOwned>(&self) -> Result<T, Fault> {
+        if self.text.len() > MAX_FILE {
+            let detail = format!("{} bytes exceed the limit of {MAX_FILE}", self.text.len());
+            return Err(Fault::new(Code::TooLarge, detail).at(self.offset_place(0, "")));
+        }
+        let value = jsonc_parser::parse_to_serde_value(self.text, &ParseOptions::default())
+            .map_err(|e| {
+                Fault::new(Code::Syntax, e.kind().to_string())
+                    .at(self.offset_place(e.range().start, ""))
+            })?
+            .ok_or_else(|| {
+                Fault::new(Code::Syntax, "the file is empty").at(self.offset_place(0, ""))
+            })?;
+        serde_path_to_error::deserialize(value).map_err(|e| {
+            let path = e.path().to_string();
+            self.fault(code_of(e.inner()), e.inner().to_string(), &path)
+        })
+    }
+
+    /// Creates a fault at a field path such as `accounts[0].name`.
+    pub fn fault(&self, code: Code, detail: impl AsRef<str>, path: &str) -> Fault {
+        Fault::new(code, detail.as_ref()).at(self.place(path))
+    }
+
+    fn place(&self, path: &str) -> Place {
+        let parsed = jsonc_parser::parse_to_ast(
+            self.text,
+            &CollectOptions::default(),
+            &ParseOptions::default(),
+        );
+        let offset = parsed
+            .ok()
+            .and_then(|p| p.value)
+            .map_or(0, |root| locate(&root, path));
+        self.offset_place(offset, path)
+    }
+
+    fn offset_place(&self, offset: usize, path: &str) -> Place {
+        let end = (0..=offset.min(self.text.len()))
+            .rev()
+            .find(|i| self.text.is_char_boundary(*i))
+            .unwrap_or(0);
+        let before = &self.text[..end];
+        let line = before.matches('\n').count() + 1;
+        let column = before.chars().rev().take_while(|c| *c != '\n').count() + 1;
+        Place {
+            file: self.name.into(),
+            line,
+            column,
+            field: if path == "." { "".into() } else { path.into() },
+        }
+    }
+}
+
+fn code_of(error: &serde_json::Error) -> Code {
+    let text = error.to_string();
+    if text.starts_with("unknown field") {
+        Code::UnknownField
+    } else if text.starts_with("missing field") {
+        Code::MissingField
+    } else if text.starts_with("out of range") || text.contains("expected u") {
+        Code::OutOfRange
+    } else {
+        Code::WrongType
+    }
+}
+
+/// Returns the byte offset of the deepest node that a field path reaches.
+fn locate(root: &Value<'_>, path: &str) -> usize {
+    let mut node = root;
+    let mut offset = root.start();
+    for step in path.split(['.', '[', ']']).filter(|s| !s.is_empty()) {
+        let next = match node {
+            Value::Object(object) => object.get(step).map(|p| (p.start(), &p.value)),
+            Value::Array(array) => step
+                .parse()
+                .ok()
+                .and_then(|i: usize| array.elements.get(i))
+                .map(|v| (v.start(), v)),
+            _ => None,
+        };
+        let Some((start, value)) = next else { break };
+        offset = start;
+        node = value;
+    }
+    offset
+}
--- /dev/null
+++ b/crates/model/src/event.rs
@@ -0,0 +1,114 @@
+//! The catalogue of numbered log events and the record of one event.
+
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+use std::fmt;
+
+macro_rules! events {
+    ($($name:ident = $number:literal, $meaning:literal;)*) => {
+        /// Enumerates every numbered log event of the system.
+        #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+        #[serde(into = "u16", try_from = "u16")]
+        pub enum Event {
+            $(#[doc = $meaning] $name,)*
+        }
+
+        impl Event {
+            /// Lists every event in ascending order.
+            pub const ALL: &'static [Event] = &[$(Event::$name),*];
+
+            /// Returns the number of the event.
+            pub const fn number(self) -> u16 {
+                match self { $(Event::$name => $number,)* }
+            }
+
+            /// Returns the meaning of the event as one sentence.
+            pub const fn meaning(self) -> &'static str {
+                match self { $(Event::$name => $meaning,)* }
+            }
+        }
+    };
+}
+
+events! {
+    Started = 1001, "The process started and listens.";
+    DrainBegan = 1002, "The process stopped taking new work.";
+    Stopped = 1003, "The process finished its work and stopped.";
+    MemberJoined = 1101, "A member was seen alive.";
+    MemberSuspected = 1102, "A member stopped answering and is suspected.";
+    MemberDied = 1103, "A member is considered dead.";
+    MemberLeft = 1104, "A member announced that it is leaving.";
+    UpstreamAnnounced = 1201, "An upstream announced itself to its sidecar.";
+    UpstreamLeaving = 1202, "An upstream announced that it is leaving.";
+    RequestForwarded = 1301, "A request was forwarded to an upstream.";
+    RequestAnswered = 1302, "A caller received the whole answer to its request.";
+    RequestNotRun = 1303, "A request ended without having been run.";
+    RequestUnknown = 1304, "A request ended with an unknown outcome.";
+    RequestRetried = 1305, "A request that was not run was offered to another upstream.";
+    RequestRepeated = 1306, "A remembered answer was repeated for an idempotency key.";
+    ConfigAccepted = 1401, "A configuration generation was accepted.";
+    ConfigApplied = 1402, "A configuration generation came into force in this process.";
+    ConfigRefused = 1403, "A configuration was refused.";
+    PlacerElected = 1501, "The process took the placer lease of its region.";
+    PlacerLapsed = 1502, "The placer lease lapsed or was handed over.";
+    JobAccepted = 1601, "A job was stored and acknowledged.";
+    JobHolding = 1602, "Holds for the gang of a job were ordered.";
+    JobStarted = 1603, "Every member of a gang was ordered to start.";
+    JobFinished = 1604, "A job finished.";
+    JobCancelled = 1605, "A job was cancelled.";
+    JobPreempted = 1606, "A job was preempted in favour of a guarantee.";
+    JobRequeued = 1607, "A job lost its gang and waits again.";
+    JobParked = 1608, "A job cannot run on the hardware at hand and is parked.";
+    WorkerSeen = 1701, "A worker reported to the placer.";
+    WorkerLost = 1702, "A worker stopped reporting.";
+    WorkerQuarantined = 1703, "A worker failed too many tasks and is quarantined.";
+    StoreDown = 1801, "The key-value service stopped answering.";
+    StoreBack = 1802, "The key-value service answers again.";
+    PeerRefused = 1901, "A malformed or forged message was dropped.";
+}
+
+impl From<Event> for u16 {
+    fn from(event: Event) -> Self {
+        event.number()
+    }
+}
+
+impl TryFrom<u16> for Event {
+    type Error = String;
+
+    fn try_from(number: u16) -> Result<Self, String> {
+        Event::ALL
+            .iter()
+            .copied()
+            .find(|event| event.number() == number)
+            .ok_or_else(|| format!("no event {number}"))
+    }
+}
+
+impl fmt::Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "E{}", self.number())
+    }
+}
+
+/// Records one event of one process.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Record {
+    /// Milliseconds since the Unix epoch on the clock of the process.
+    pub at: u64,
+    /// Position among the events of the process, from 0.
+    pub seq: u64,
+    /// The name of the process.
+    pub process: SmolStr,
+    /// What happened.
+    pub event: Event,
+    /// The job, request, worker or member concerned.
+    pub subject: SmolStr,
+    /// The client account concerned, if any.
+    #[serde(default, skip_serializing_if = "SmolStr::is_empty")]
+    pub account: SmolStr,
+    /// Further figures as text.
+    #[serde(default, skip_serializing_if = "SmolStr::is_empty")]
+    pub detail: SmolStr,
+}
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,22 @@
+//! Types that every role of hibiscusbarrow shares.
+//!
+//! The crate holds the operators' configuration, the settings of a process,
+//! job records, and the catalogues of result codes and events. It does no I/O.
+//!
+//! ```
+//! use hibiscusbarrow_model::config::Config;
+//!
+//! let text = r#"{ "accounts": [{ "name": "agency", "quota": [{ "shape": "quad", "count": 2 }] }] }"#;
+//! let config = Config::parse("example.jsonc", text).unwrap();
+//! assert_eq!(config.accounts[0].name, "agency");
+//! ```
+
+pub mod code;
+pub mod config;
+pub mod diff;
+pub mod document;
+pub mod event;
+pub mod job;
+pub mod order;
+pub mod settings;
+pub mod state;
