Add adapters for HTTP, RPC, gossip, store, logs and metrics

Cause: the decisions need the outside. The HTTP client tells a request that was never sent from one that went unanswered, which is what makes "not run" true. Gossip datagrams are sealed with a keyed hash, so forged members are dropped. Ruled out: a pooled client that hides whether a byte was written. Result: code generated from schema/node.capnp is committed; the build needs no generator.

--- /dev/null
+++ b/crates/adapters/src/gossip/mod.rs
@@ -0,0 +1,92 @@
+//! Gossip datagrams: `postcard` bodies behind a keyed `blake3` tag.
+
+use compio::BufResult;
+use compio::net::UdpSocket;
+use hibiscusbarrow_coordination::membership::Message;
+use std::io;
+use std::net::SocketAddr;
+
+/// The largest datagram, in bytes.
+pub const MAX_DATAGRAM: usize = 1400;
+/// The length of the tag, in bytes.
+const TAG: usize = 16;
+
+/// Seals and opens messages with a key that all processes share.
+#[derive(Clone)]
+pub struct Seal {
+    key: [u8; 32],
+}
+
+impl Seal {
+    /// Derives the key from the secret of the settings.
+    pub fn new(secret: &str) -> Self {
+        Self {
+            key: blake3::derive_key("hibiscusbarrow gossip v1", secret.as_bytes()),
+        }
+    }
+
+    /// Returns the datagram of a message, dropping news from its end until it fits.
+    pub fn seal(&self, mut message: Message) -> Vec<u8> {
+        loop {
+            let body = postcard::to_allocvec(&message).expect("messages always encode");
+            if body.len() + TAG <= MAX_DATAGRAM || message.news.len() <= 1 {
+                let mut datagram = self.tag(&body).to_vec();
+                datagram.extend_from_slice(&body);
+                return datagram;
+            }
+            message.news.pop();
+        }
+    }
+
+    /// Returns the message of a datagram; nothing if it is malformed or forged.
+    pub fn open(&self, datagram: &[u8]) -> Option<Message> {
+        let (tag, body) = datagram.split_at_checked(TAG)?;
+        let tag: [u8; TAG] = tag.try_into().ok()?;
+        let expected = blake3::keyed_hash(&self.key, body);
+        let mut full = *expected.as_bytes();
+        full[..TAG].copy_from_slice(&tag);
+        if blake3::Hash::from_bytes(full) != expected {
+            return None;
+        }
+        let (message, rest) = postcard::take_from_bytes(body).ok()?;
+        rest.is_empty().then_some(message)
+    }
+
+    fn tag(&self, body: &[u8]) -> [u8; TAG] {
+        let hash = blake3::keyed_hash(&self.key, body);
+        let mut tag = [0; TAG];
+        tag.copy_from_slice(&hash.as_bytes()[..TAG]);
+        tag
+    }
+}
+
+/// Owns the gossip socket of a process.
+pub struct GossipSocket {
+    socket: UdpSocket,
+    seal: Seal,
+}
+
+impl GossipSocket {
+    /// Binds the socket.
+    pub async fn bind(addr: SocketAddr, seal: Seal) -> io::Result<Self> {
+        Ok(Self {
+            socket: UdpSocket::bind(addr).await?,
+            seal,
+        })
+    }
+
+    /// Sends a message and returns its size in bytes.
+    pub async fn send(&self, addr: SocketAddr, message: Message) -> io::Result<usize> {
+        let datagram = self.seal.seal(message);
+        let BufResult(result, _) = self.socket.send_to(datagram, addr).await;
+        result
+    }
+
+    /// Receives the next datagram: its sender, size and message, if it is genuine.
+    pub async fn receive(&self) -> io::Result<(SocketAddr, usize, Option<Message>)> {
+        let buffer = Vec::with_capacity(MAX_DATAGRAM + 1);
+        let BufResult(result, buffer) = self.socket.recv_from(buffer).await;
+        let (size, addr) = result?;
+        Ok((addr, size, self.seal.open(&buffer[..size])))
+    }
+}
--- /dev/null
+++ b/crates/adapters/src/http/client.rs
@@ -0,0 +1,157 @@
+//! An HTTP client that knows whether a request was ever sent.
+
+use bytes::Bytes;
+use compio::net::TcpStream;
+use compio::time::timeout;
+use cyper_core::HyperStream;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::SendRequest;
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The idle connections kept to one address.
+const MAX_IDLE: usize = 32;
+
+/// Enumerates how a call can fail.
+#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+pub enum SendError {
+    /// No byte of the request left this process.
+    #[error("the request was not sent: {0}")]
+    NotSent(String),
+    /// The request may have arrived; no whole answer came.
+    #[error("no answer came: {0}")]
+    Unanswered(String),
+    /// The answer began and broke off.
+    #[error("the answer broke off: {0}")]
+    Truncated(String),
+}
+
+/// Calls HTTP servers over kept connections.
+#[derive(Default)]
+pub struct HttpClient {
+    idle: RefCell<HashMap<SocketAddr, Vec<SendRequest<Full<Bytes>>>>>,
+}
+
+impl HttpClient {
+    /// Sends a request and returns the whole answer.
+    ///
+    /// `limit` bounds the whole call; an answer larger than `max_body` bytes
+    /// counts as broken off.
+    pub async fn call(
+        &self,
+        addr: SocketAddr,
+        request: http::Request<Bytes>,
+        limit: Duration,
+        max_body: usize,
+    ) -> Result<Response<Bytes>, SendError> {
+        let sent = Cell::new(false);
+        let call = self.exchange(addr, request, max_body, &sent);
+        match timeout(limit, call).await {
+            Ok(result) => result,
+            Err(_) if sent.get() => Err(SendError::Unanswered("the time ran out".into())),
+            Err(_) => Err(SendError::NotSent("the time ran out".into())),
+        }
+    }
+
+    /// Sends a JSON body by POST and parses a JSON answer.
+    pub async fn post_json<T: serde::de::DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        body: &impl serde::Serialize,
+        limit: Duration,
+    ) -> Result<(u16, T), SendError> {
+        let body = serde_json::to_vec(body).expect("the value serialises to JSON");
+        let request = http::Request::post(path)
+            .header("host", addr.to_string())
+            .header("content-type", "application/json")
+            .body(Bytes::from(body))
+            .map_err(|e| SendError::NotSent(e.to_string()))?;
+        let reply = self.call(addr, request, limit, 16 << 20).await?;
+        let status = reply.status().as_u16();
+        let value = serde_json::from_slice(reply.body())
+            .map_err(|e| SendError::Truncated(format!("status {status}: {e}")))?;
+        Ok((status, value))
+    }
+
+    async fn exchange(
+        &self,
+        addr: SocketAddr,
+        request: http::Request<Bytes>,
+        max_body: usize,
+        sent: &Cell<bool>,
+    ) -> Result<Response<Bytes>, SendError> {
+        let mut request = request.map(Full::new);
+        loop {
+            let (mut sender, fresh) = self.sender(addr).await?;
+            sent.set(true);
+            match sender.try_send_request(request).await {
+                Ok(reply) => return self.read(addr, sender, reply, max_body).await,
+                Err(mut failure) => match failure.take_message() {
+                    Some(unsent) if !fresh => {
+                        sent.set(false);
+                        request = unsent;
+                    }
+                    Some(_) => return Err(SendError::NotSent(failure.error().to_string())),
+                    None => return Err(SendError::Unanswered(failure.error().to_string())),
+                },
+            }
+        }
+    }
+
+    /// Returns a ready connection, and whether it is new.
+    async fn sender(
+        &self,
+        addr: SocketAddr,
+    ) -> Result<(SendRequest<Full<Bytes>>, bool), SendError> {
+        while let Some(mut sender) = self.take_idle(addr) {
+            if !sender.is_closed() && sender.ready().await.is_ok() {
+                return Ok((sender, false));
+            }
+        }
+        let not_sent = |e: String| SendError::NotSent(format!("{addr}: {e}"));
+        let stream = TcpStream::connect(addr)
+            .await
+            .map_err(|e| not_sent(e.to_string()))?;
+        let _ = stream.set_nodelay(true);
+        let (mut sender, connection) =
+            hyper::client::conn::http1::handshake(HyperStream::new_plain(stream))
+                .await
+                .map_err(|e| not_sent(e.to_string()))?;
+        compio::runtime::spawn(async move {
+            let _ = connection.await;
+        })
+        .detach();
+        sender.ready().await.map_err(|e| not_sent(e.to_string()))?;
+        Ok((sender, true))
+    }
+
+    fn take_idle(&self, addr: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+        self.idle.borrow_mut().get_mut(&addr)?.pop()
+    }
+
+    async fn read(
+        &self,
+        addr: SocketAddr,
+        sender: SendRequest<Full<Bytes>>,
+        reply: Response<Incoming>,
+        max_body: usize,
+    ) -> Result<Response<Bytes>, SendError> {
+        let (head, body) = reply.into_parts();
+        let body = Limited::new(body, max_body).collect().await;
+        let body = body.map_err(|e| SendError::Truncated(e.to_string()))?;
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.entry(addr).or_default();
+        if kept.len() < MAX_IDLE {
+            kept.push(sender);
+        }
+        Ok(Response::from_parts(head, body.to_bytes()))
+    }
+}
--- /dev/null
+++ b/crates/adapters/src/http/mod.rs
@@ -0,0 +1,14 @@
+//! HTTP/1.1 by `hyper` over `compio` sockets.
+
+mod client;
+mod server;
+
+pub use client::HttpClient;
+pub use client::SendError;
+pub use server::Limits;
+pub use server::Reply;
+pub use server::Request;
+pub use server::fault_reply;
+pub use server::json_reply;
+pub use server::serve;
+pub use server::text_reply;
--- /dev/null
+++ b/crates/adapters/src/lib.rs
@@ -0,0 +1,29 @@
+//! Adapters between the decisions of hibiscusbarrow and the outside.
+//!
+//! HTTP by `hyper`, RPC between processes by `capnp-rpc`, gossip over UDP, a
+//! client of the key-value service, logs by `slog` and metrics by
+//! `opentelemetry`. Everything runs on one `compio` runtime per process.
+//!
+//! ```
+//! use hibiscusbarrow_adapters::store::encode;
+//!
+//! assert_eq!(encode("/a"), "L2E=");
+//! ```
+
+#[allow(
+    clippy::all,
+    clippy::pedantic,
+    missing_docs,
+    unused_qualifications,
+    reason = "generated from schema/node.capnp by capnpc-rust"
+)]
+#[rustfmt::skip]
+pub mod node_capnp;
+
+pub mod gossip;
+pub mod http;
+pub mod log;
+pub mod metrics;
+pub mod rpc;
+pub mod signal;
+pub mod store;
--- /dev/null
+++ b/crates/adapters/src/metrics/mod.rs
@@ -0,0 +1,80 @@
+//! Metrics by `opentelemetry`, scraped in the Prometheus text form.
+
+use opentelemetry::KeyValue;
+use opentelemetry::metrics::Counter;
+use opentelemetry::metrics::Gauge;
+use opentelemetry::metrics::Histogram;
+use opentelemetry::metrics::MeterProvider;
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::Encoder;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+use std::time::Duration;
+
+/// Holds the instruments of a process.
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    latency: Histogram<f64>,
+    store_calls: Counter<u64>,
+    control_bytes: Counter<u64>,
+    gauges: Gauge<u64>,
+}
+
+impl Metrics {
+    /// Creates the instruments.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the exporter cannot register itself.
+    pub fn new() -> anyhow::Result<Self> {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .without_target_info()
+            .build()?;
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter("hibiscusbarrow");
+        Ok(Self {
+            registry,
+            requests: meter.u64_counter("requests").build(),
+            latency: meter.f64_histogram("request_seconds").build(),
+            store_calls: meter.u64_counter("store_calls").build(),
+            control_bytes: meter.u64_counter("control_bytes").build(),
+            gauges: meter.u64_gauge("level").build(),
+            _provider: provider,
+        })
+    }
+
+    /// Counts a request that ended with a result code after some time.
+    pub fn request(&self, code: u16, elapsed: Duration) {
+        let code = [KeyValue::new("code", i64::from(code))];
+        self.requests.add(1, &code);
+        self.latency.record(elapsed.as_secs_f64(), &[]);
+    }
+
+    /// Counts a call to the key-value service.
+    pub fn store_call(&self, kind: &'static str) {
+        self.store_calls.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Counts bytes of control traffic.
+    pub fn control(&self, kind: &'static str, bytes: usize) {
+        self.control_bytes
+            .add(bytes as u64, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// Sets a level such as the members known or the generation in force.
+    pub fn level(&self, name: &'static str, value: u64) {
+        self.gauges.record(value, &[KeyValue::new("name", name)]);
+    }
+
+    /// Returns all values in the Prometheus text form.
+    pub fn render(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        let families = self.registry.gather();
+        let _ = TextEncoder::new().encode(&families, &mut text);
+        text
+    }
+}
--- /dev/null
+++ b/crates/adapters/src/rpc/server.rs
@@ -0,0 +1,140 @@
+//! The serving side of the RPC protocol.
+
+use super::ForwardReply;
+use super::ForwardRequest;
+use crate::node_capnp::node;
+use crate::signal::Flag;
+use bytes::Bytes;
+use capnp::message::ReaderOptions;
+use capnp_rpc::RpcSystem;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use capnp_rpc::twoparty::VatNetwork;
+use compio::io::compat::AsyncStream;
+use compio::net::TcpListener;
+use compio::net::TcpStream;
+use futures_util::AsyncReadExt;
+use futures_util::future::Either;
+use futures_util::future::LocalBoxFuture;
+use futures_util::future::select;
+use smol_str::SmolStr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The largest message, in words of eight bytes.
+const MAX_WORDS: usize = 4 << 20;
+
+type Forward = dyn Fn(ForwardRequest) -> LocalBoxFuture<'static, ForwardReply>;
+type Config = dyn Fn(u64) -> Option<(u64, Bytes)>;
+
+/// Holds what a process answers to its peers.
+#[derive(Clone)]
+pub struct Handlers {
+    /// Runs a request.
+    pub forward: Rc<Forward>,
+    /// Returns the configuration if its generation is above the given one.
+    pub config: Rc<Config>,
+}
+
+/// Returns bounds under which a message of a peer is read.
+pub(super) fn reader_options() -> ReaderOptions {
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MAX_WORDS));
+    options
+}
+
+/// Serves peers until `stop` is raised.
+pub async fn serve(listener: TcpListener, handlers: Handlers, stop: Flag) {
+    loop {
+        let accept = pin!(listener.accept());
+        let stopped = pin!(stop.wait());
+        match select(accept, stopped).await {
+            Either::Left((Ok((stream, _)), _)) => {
+                compio::runtime::spawn(serve_peer(stream, handlers.clone())).detach();
+            }
+            Either::Left((Err(_), _)) => compio::time::sleep(Duration::from_millis(10)).await,
+            Either::Right(_) => return,
+        }
+    }
+}
+
+async fn serve_peer(stream: TcpStream, handlers: Handlers) {
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = AsyncStream::new(stream).split();
+    let network = VatNetwork::new(reader, writer, Side::Server, reader_options());
+    let client: node::Client = capnp_rpc::new_client(NodeServer { handlers });
+    let system = RpcSystem::new(Box::new(network), Some(client.client));
+    let _ = system.await;
+}
+
+struct NodeServer {
+    handlers: Handlers,
+}
+
+impl node::Server for NodeServer {
+    async fn forward(
+        self: Rc<Self>,
+        params: node::ForwardParams,
+        mut results: node::ForwardResults,
+    ) -> Result<(), capnp::Error> {
+        let request = read_request(params.get()?.get_request()?)?;
+        let reply = (self.handlers.forward)(request).await;
+        let mut out = results.get().init_reply();
+        out.set_code(reply.code.number());
+        out.set_detail(reply.detail.as_str());
+        out.set_status(reply.status);
+        out.set_body(&reply.body);
+        out.set_repeated(reply.repeated);
+        out.set_running(reply.running);
+        out.set_queued(reply.queued);
+        let mut headers = out.init_headers(reply.headers.len() as u32);
+        for (i, (name, value)) in reply.headers.iter().enumerate() {
+            let mut header = headers.reborrow().get(i as u32);
+            header.set_name(name.as_str());
+            header.set_value(value);
+        }
+        Ok(())
+    }
+
+    async fn config(
+        self: Rc<Self>,
+        params: node::ConfigParams,
+        mut results: node::ConfigResults,
+    ) -> Result<(), capnp::Error> {
+        let above = params.get()?.get_above();
+        if let Some((generation, body)) = (self.handlers.config)(above) {
+            let mut out = results.get().init_reply();
+            out.set_generation(generation);
+            out.set_body(&body);
+        }
+        Ok(())
+    }
+}
+
+fn text(reader: capnp::text::Reader<'_>) -> Result<SmolStr, capnp::Error> {
+    Ok(reader.to_str()?.into())
+}
+
+fn read_request(
+    reader: crate::node_capnp::forward_request::Reader<'_>,
+) -> Result<ForwardRequest, capnp::Error> {
+    let mut headers = Vec::new();
+    for header in reader.get_headers()? {
+        let value = Bytes::copy_from_slice(header.get_value()?);
+        headers.push((text(header.get_name()?)?, value));
+    }
+    Ok(ForwardRequest {
+        id: text(reader.get_id()?)?,
+        account: text(reader.get_account()?)?,
+        service: text(reader.get_service()?)?,
+        method: text(reader.get_method()?)?,
+        path: text(reader.get_path()?)?,
+        headers,
+        body: Bytes::copy_from_slice(reader.get_body()?),
+        key: text(reader.get_key()?)?,
+        repeat: reader.get_repeat(),
+        life: reader.get_life(),
+        claim: reader.get_claim(),
+        remaining_ms: reader.get_remaining_ms(),
+    })
+}
