Add stand-ins for the store, workers and upstreams

Cause: tests and the quick start need the outside systems and their faults: a store that is down, slow or loses answers after the write took effect, workers that fail every task, upstreams that hang, cross or break off their answers. Each counts what it did.

--- /dev/null
+++ b/crates/standin/src/store/kv.rs
@@ -0,0 +1,209 @@
+//! Keys, revisions and leases of the stand-in, without I/O.
+
+use hibiscusbarrow_adapters::store::*;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+#[derive(Clone, Debug)]
+struct Value {
+    bytes: String,
+    created: i64,
+    modified: i64,
+    lease: i64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Lease {
+    ttl: Duration,
+    expires: Duration,
+}
+
+/// Holds all keys in memory.
+#[derive(Clone, Debug)]
+pub struct Kv {
+    revision: i64,
+    keys: BTreeMap<Vec<u8>, Value>,
+    leases: BTreeMap<i64, Lease>,
+    next_lease: i64,
+}
+
+impl Default for Kv {
+    fn default() -> Self {
+        Self {
+            revision: 1,
+            keys: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            next_lease: 1,
+        }
+    }
+}
+
+impl Kv {
+    /// Returns the present revision.
+    pub fn revision(&self) -> i64 {
+        self.revision
+    }
+
+    /// Removes leases that ran out, with their keys.
+    pub fn expire(&mut self, now: Duration) {
+        let ended = self.leases.iter().filter(|(_, l)| l.expires <= now);
+        let ended: Vec<i64> = ended.map(|(id, _)| *id).collect();
+        for id in ended {
+            self.revoke(id);
+        }
+    }
+
+    /// Reads a key or a range.
+    pub fn range(&self, request: &RangeRequest) -> RangeResponse {
+        let start = decode(&request.key).unwrap_or_default();
+        let kvs = self
+            .keys_in(&start, &request.range_end)
+            .into_iter()
+            .map(|key| self.entry(&key))
+            .collect();
+        RangeResponse {
+            header: self.header(),
+            kvs,
+        }
+    }
+
+    /// Runs a transaction.
+    pub fn txn(&mut self, request: &TxnRequest) -> TxnResponse {
+        let succeeded = request.compare.iter().all(|c| self.holds(c));
+        let operations = if succeeded {
+            &request.success
+        } else {
+            &request.failure
+        };
+        let is_write = |o: &RequestOp| o.request_range.is_none();
+        if operations.iter().any(is_write) {
+            self.revision += 1;
+        }
+        let responses = operations.iter().map(|o| self.operate(o)).collect();
+        TxnResponse {
+            header: self.header(),
+            succeeded,
+            responses,
+        }
+    }
+
+    /// Grants a lease.
+    pub fn grant(&mut self, request: &GrantRequest, now: Duration) -> GrantResponse {
+        let id = if request.id == 0 {
+            self.next_lease
+        } else {
+            request.id
+        };
+        self.next_lease = self.next_lease.max(id) + 1;
+        let ttl = Duration::from_secs(request.ttl.max(1) as u64);
+        let lease = Lease {
+            ttl,
+            expires: now + ttl,
+        };
+        self.leases.insert(id, lease);
+        GrantResponse {
+            header: self.header(),
+            id,
+            ttl: request.ttl,
+        }
+    }
+
+    /// Renews a lease.
+    pub fn keep_alive(&mut self, id: i64, now: Duration) -> KeepAliveResponse {
+        let ttl = self.leases.get_mut(&id).map_or(0, |lease| {
+            lease.expires = now + lease.ttl;
+            lease.ttl.as_secs() as i64
+        });
+        KeepAliveResponse {
+            result: GrantResponse {
+                header: self.header(),
+                id,
+                ttl,
+            },
+        }
+    }
+
+    /// Ends a lease and removes its keys.
+    pub fn revoke(&mut self, id: i64) {
+        if self.leases.remove(&id).is_none() {
+            return;
+        }
+        let before = self.keys.len();
+        self.keys.retain(|_, value| value.lease != id);
+        if self.keys.len() != before {
+            self.revision += 1;
+        }
+    }
+
+    fn header(&self) -> ResponseHeader {
+        ResponseHeader {
+            revision: self.revision,
+        }
+    }
+
+    fn keys_in(&self, start: &[u8], end: &str) -> Vec<Vec<u8>> {
+        let end = decode(end).unwrap_or_default();
+        let within = |key: &&Vec<u8>| {
+            if end.is_empty() {
+                key.as_slice() == start
+            } else {
+                key.as_slice() >= start && (end == [0] || **key < end)
+            }
+        };
+        self.keys.keys().filter(within).cloned().collect()
+    }
+
+    fn entry(&self, key: &[u8]) -> KeyValue {
+        let value = &self.keys[key];
+        KeyValue {
+            key: encode_bytes(key),
+            value: value.bytes.clone(),
+            create_revision: value.created,
+            mod_revision: value.modified,
+            lease: value.lease,
+        }
+    }
+
+    fn holds(&self, compare: &Compare) -> bool {
+        let key = decode(&compare.key).unwrap_or_default();
+        let value = self.keys.get(&key);
+        let (have, want) = match compare.target.as_str() {
+            "CREATE" => (value.map_or(0, |v| v.created), compare.create_revision),
+            "MOD" => (value.map_or(0, |v| v.modified), compare.mod_revision),
+            _ => return false,
+        };
+        match compare.result.as_str() {
+            "EQUAL" => have == want,
+            "NOT_EQUAL" => have != want,
+            "GREATER" => have > want,
+            "LESS" => have < want,
+            _ => false,
+        }
+    }
+
+    fn operate(&mut self, operation: &RequestOp) -> ResponseOp {
+        if let Some(request) = &operation.request_range {
+            return ResponseOp {
+                response_range: Some(self.range(request)),
+            };
+        }
+        if let Some(request) = &operation.request_put {
+            let key = decode(&request.key).unwrap_or_default();
+            let created = self.keys.get(&key).map_or(self.revision, |v| v.created);
+            let value = Value {
+                bytes: request.value.clone(),
+                created,
+                modified: self.revision,
+                lease: request.lease,
+            };
+            self.keys.insert(key, value);
+        }
+        if let Some(request) = &operation.request_delete_range {
+            let start = decode(&request.key).unwrap_or_default();
+            for key in self.keys_in(&start, &request.range_end) {
+                self.keys.remove(&key);
+            }
+        }
+        ResponseOp::default()
+    }
+}
--- /dev/null
+++ b/crates/standin/src/upstream/mod.rs
@@ -0,0 +1,177 @@
+//! A stand-in for an upstream: announces itself, answers, counts every run.
+
+use bytes::Bytes;
+use compio::net::TcpListener;
+use hibiscusbarrow_adapters::http::HttpClient;
+use hibiscusbarrow_adapters::http::Limits;
+use hibiscusbarrow_adapters::http::Reply;
+use hibiscusbarrow_adapters::http::Request;
+use hibiscusbarrow_adapters::http::fault_reply;
+use hibiscusbarrow_adapters::http::json_reply;
+use hibiscusbarrow_adapters::http::serve as serve_http;
+use hibiscusbarrow_adapters::signal::Flag;
+use hibiscusbarrow_model::state::Announcement;
+use http::HeaderValue;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::json;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The time between announcements.
+const ANNOUNCE_EVERY: Duration = Duration::from_millis(500);
+/// The time after which a call to the sidecar is given up.
+const CALL_LIMIT: Duration = Duration::from_secs(2);
+
+/// Enumerates the ways in which the stand-in misbehaves.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum UpstreamFault {
+    /// Answers as it should.
+    #[default]
+    None,
+    /// Answers with status 500.
+    Fail,
+    /// Never answers.
+    Hang,
+    /// Breaks its answers off.
+    Truncate,
+    /// Answers with another request's number.
+    Cross,
+}
+
+#[derive(Debug, Default, Serialize)]
+struct Counts {
+    runs: BTreeMap<String, u64>,
+    total: u64,
+    running: u64,
+    most: u64,
+}
+
+#[derive(Default)]
+struct State {
+    counts: Counts,
+    fault: UpstreamFault,
+}
+
+/// Serves the upstream until `stop` is raised, announced to `sidecar` if given.
+pub async fn serve(
+    listener: TcpListener,
+    announcement: Announcement,
+    sidecar: Option<SocketAddr>,
+    stop: Flag,
+) {
+    let state = Rc::new(RefCell::new(State::default()));
+    let leaving = Flag::default();
+    if let Some(sidecar) = sidecar {
+        let (stop, leaving) = (stop.clone(), leaving.clone());
+        compio::runtime::spawn(announce(announcement, sidecar, stop, leaving)).detach();
+    } else {
+        let (stop, leaving) = (stop.clone(), leaving.clone());
+        compio::runtime::spawn(async move {
+            stop.wait().await;
+            leaving.raise();
+        })
+        .detach();
+    }
+    let handler = move |request| handle(state.clone(), request);
+    serve_http(listener, Limits::default(), leaving, handler).await;
+}
+
+/// Announces the upstream until it stops, then says that it leaves.
+///
+/// The sidecar answers to the leave only when nothing is in flight.
+async fn announce(announcement: Announcement, sidecar: SocketAddr, stop: Flag, leaving: Flag) {
+    let client = HttpClient::default();
+    while !stop.is_raised() {
+        let call = client.post_json::<serde_json::Value>(
+            sidecar,
+            "/v1/announce",
+            &announcement,
+            CALL_LIMIT,
+        );
+        let _ = call.await;
+        let pause = Box::pin(compio::time::sleep(ANNOUNCE_EVERY));
+        let stopped = Box::pin(stop.wait());
+        futures_util::future::select(pause, stopped).await;
+    }
+    let limit = Duration::from_secs(120);
+    let _ = client
+        .post_json::<serde_json::Value>(sidecar, "/v1/leave", &announcement, limit)
+        .await;
+    leaving.raise();
+}
+
+async fn handle(state: Rc<RefCell<State>>, request: Request) -> Reply {
+    match request.path.as_str() {
+        "/standin/runs" => json_reply(200, &state.borrow().counts),
+        "/standin/fault" => match request.json::<UpstreamFault>() {
+            Ok(fault) => {
+                state.borrow_mut().fault = fault;
+                json_reply(200, &fault)
+            }
+            Err(fault) => fault_reply(&fault),
+        },
+        _ => answer(state, request).await,
+    }
+}
+
+async fn answer(state: Rc<RefCell<State>>, request: Request) -> Reply {
+    let fault = begin(&mut state.borrow_mut(), &request);
+    let work: u64 = request.header("x-work-ms").parse().unwrap_or(0);
+    if fault == UpstreamFault::Hang {
+        std::future::pending::<()>().await;
+    }
+    if work > 0 {
+        compio::time::sleep(Duration::from_millis(work)).await;
+    }
+    state.borrow_mut().counts.running -= 1;
+    let id = match fault {
+        UpstreamFault::Cross => "another-request",
+        _ => request.header("x-request-id"),
+    };
+    let status = if fault == UpstreamFault::Fail {
+        500
+    } else {
+        200
+    };
+    let body = json!({
+        "id": id,
+        "key": request.header("idempotency-key"),
+        "echo": String::from_utf8_lossy(&request.body),
+    });
+    let mut reply = json_reply(status, &body);
+    if let Ok(value) = HeaderValue::from_str(id) {
+        reply.headers_mut().insert("x-request-id", value);
+    }
+    if fault == UpstreamFault::Truncate {
+        truncate(&mut reply);
+    }
+    reply
+}
+
+fn begin(state: &mut State, request: &Request) -> UpstreamFault {
+    let key = match request.header("idempotency-key") {
+        "" => request.header("x-request-id"),
+        key => key,
+    };
+    let counts = &mut state.counts;
+    *counts.runs.entry(key.to_owned()).or_default() += 1;
+    counts.total += 1;
+    counts.running += 1;
+    counts.most = counts.most.max(counts.running);
+    state.fault
+}
+
+/// Promises more bytes than the body has, so that the server breaks it off.
+fn truncate(reply: &mut Reply) {
+    let promised = reply.body().len() + 100;
+    let half = reply.body().slice(..reply.body().len() / 2);
+    *reply.body_mut() = Bytes::copy_from_slice(&half);
+    reply
+        .headers_mut()
+        .insert("content-length", HeaderValue::from(promised));
+}
