--- /dev/null
+++ b/crates/roles/src/gateway/apply.rs
@@ -0,0 +1,267 @@
+//! Accepts configurations: whole, by one compare-and-swap, monotone.
+
+use super::Gateway;
+use hibiscusbarrow_adapters::store::Compare;
+use hibiscusbarrow_adapters::store::RequestOp;
+use hibiscusbarrow_adapters::store::StoreError;
+use hibiscusbarrow_adapters::store::TxnRequest;
+use hibiscusbarrow_model::code::Code;
+use hibiscusbarrow_model::code::Fault;
+use hibiscusbarrow_model::config::Config;
+use hibiscusbarrow_model::event::Event;
+use hibiscusbarrow_model::state::ApplyReply;
+use hibiscusbarrow_model::state::ApplyRequest;
+use hibiscusbarrow_model::state::CONFIG_LOG;
+use hibiscusbarrow_model::state::CONFIG_PART;
+use hibiscusbarrow_model::state::CONFIG_ROOT;
+use hibiscusbarrow_model::state::ConfigBody;
+use hibiscusbarrow_model::state::ConfigRoot;
+use hibiscusbarrow_model::state::MAX_PART;
+use smol_str::SmolStr;
+
+/// The generations whose authors are remembered.
+const LOG_LENGTH: u64 = 1000;
+
+/// Holds the accepted configuration and the revision of its root.
+struct Base {
+    revision: i64,
+    body: Option<ConfigBody>,
+}
+
+impl Base {
+    fn generation(&self) -> u64 {
+        self.body.as_ref().map_or(0, |b| b.root.generation)
+    }
+}
+
+impl Gateway {
+    /// Returns the newest accepted configuration.
+    pub(super) async fn config(&self) -> Result<ConfigBody, Fault> {
+        if let Ok(Some(body)) = self.node.read_config().await {
+            self.node.install(body);
+        }
+        Ok(self.node.require_config()?.body.clone())
+    }
+
+    /// Checks a file and accepts it whole, or refuses it whole.
+    pub(super) async fn apply(&self, request: ApplyRequest) -> Result<ApplyReply, Fault> {
+        let result = self.try_apply(&request).await;
+        if let Err(fault) = &result {
+            let operation = request.operation.clone();
+            self.node
+                .log
+                .note(Event::ConfigRefused, operation, fault.to_string());
+        }
+        result
+    }
+
+    async fn try_apply(&self, request: &ApplyRequest) -> Result<ApplyReply, Fault> {
+        let config = Config::parse(&request.file, &request.text)?;
+        let base = self.read_base().await?;
+        if let Some(body) = self.find_operation(&base, &request.operation).await? {
+            return Ok(accepted(&config, body.generation));
+        }
+        self.check_base(&base, request).await?;
+        if let Some(body) = &base.body {
+            let held = Config::parse("accepted configuration", &body.text)?;
+            config.check_renewal(&held, &request.file, &request.text)?;
+        }
+        self.placer.check_quotas(&config).await?;
+        let root = self.commit(&base, request).await?;
+        let generation = root.generation;
+        self.node.log.note(
+            Event::ConfigAccepted,
+            generation.to_string(),
+            format!("{} by {}", request.operation, request.operator),
+        );
+        self.node.install(ConfigBody {
+            root,
+            text: request.text.clone(),
+        });
+        Ok(accepted(&config, generation))
+    }
+
+    async fn read_base(&self) -> Result<Base, Fault> {
+        let entry = self
+            .node
+            .store
+            .get(CONFIG_ROOT)
+            .await
+            .map_err(store_fault)?;
+        let Some(entry) = entry else {
+            return Ok(Base {
+                revision: 0,
+                body: None,
+            });
+        };
+        let root = entry.json::<ConfigRoot>();
+        let body = self.node.read_config().await.map_err(store_fault)?;
+        let same = body.as_ref().map(|b| &b.root) == root.as_ref();
+        if !same {
+            return Err(Fault::new(
+                Code::Conflict,
+                "another configuration is being accepted",
+            ));
+        }
+        Ok(Base {
+            revision: entry.mod_revision,
+            body,
+        })
+    }
+
+    /// Finds out whether an operation was accepted before, its answer having been lost.
+    async fn find_operation(
+        &self,
+        base: &Base,
+        operation: &SmolStr,
+    ) -> Result<Option<ConfigRoot>, Fault> {
+        if let Some(body) = base
+            .body
+            .as_ref()
+            .filter(|b| b.root.operation == *operation)
+        {
+            return Ok(Some(body.root.clone()));
+        }
+        let entries = self
+            .node
+            .store
+            .list(CONFIG_LOG)
+            .await
+            .map_err(store_fault)?;
+        let mut roots = entries.iter().filter_map(|e| e.json::<ConfigRoot>());
+        Ok(roots.find(|root| root.operation == *operation))
+    }
+
+    async fn check_base(&self, base: &Base, request: &ApplyRequest) -> Result<(), Fault> {
+        let Some(body) = &base.body else {
+            return Ok(());
+        };
+        if request
+            .base
+            .is_none_or(|wanted| wanted == body.root.generation)
+        {
+            return Ok(());
+        }
+        let old = request.base.unwrap_or(0);
+        Err(conflict(old, &body.root, &self.difference(request, body)))
+    }
+
+    /// Names the accounts, services and jobs in which a file differs from the accepted one.
+    fn difference(&self, request: &ApplyRequest, body: &ConfigBody) -> String {
+        let ours = Config::parse("", &request.text).unwrap_or_default();
+        let theirs = Config::parse("", &body.text).unwrap_or_default();
+        hibiscusbarrow_model::diff::changes(&theirs, &ours).join("; ")
+    }
+
+    async fn commit(&self, base: &Base, request: &ApplyRequest) -> Result<ConfigRoot, Fault> {
+        let generation = base.generation() + 1;
+        let parts = split_parts(&request.text);
+        let keys: Vec<SmolStr> = (0..parts.len())
+            .map(|i| format!("{CONFIG_PART}{generation}/{}/{i}", request.operation).into())
+            .collect();
+        let root = ConfigRoot {
+            generation,
+            operation: request.operation.clone(),
+            operator: request.operator.clone(),
+            parts: keys.clone(),
+        };
+        for (key, part) in keys.iter().zip(&parts) {
+            let write = TxnRequest {
+                success: vec![RequestOp::put(key, part, 0)],
+                ..TxnRequest::default()
+            };
+            self.node.store.txn(&write).await.map_err(store_fault)?;
+        }
+        self.swap_root(base, &root).await?;
+        Ok(root)
+    }
+
+    /// Replaces the root if nobody else has; a lost answer is resolved by reading.
+    async fn swap_root(&self, base: &Base, root: &ConfigRoot) -> Result<(), Fault> {
+        let log = |generation: u64| format!("{CONFIG_LOG}{generation:020}");
+        let mut success = vec![
+            RequestOp::put(CONFIG_ROOT, root, 0),
+            RequestOp::put(&log(root.generation), root, 0),
+        ];
+        if let Some(old) = root.generation.checked_sub(LOG_LENGTH) {
+            success.push(RequestOp::delete(&log(old)));
+        }
+        for part in base.body.iter().flat_map(|b| &b.root.parts) {
+            success.push(RequestOp::delete(part));
+        }
+        let swap = TxnRequest {
+            compare: vec![Compare::unchanged(CONFIG_ROOT, base.revision)],
+            success,
+            failure: vec![RequestOp::get(CONFIG_ROOT)],
+        };
+        match self.node.store.txn(&swap).await {
+            Ok(reply) if reply.succeeded => Ok(()),
+            Ok(reply) => match reply.found().and_then(|e| e.json::<ConfigRoot>()) {
+                Some(winner) => Err(conflict(base.generation(), &winner, "")),
+                None => Err(Fault::new(
+                    Code::Conflict,
+                    "the accepted configuration vanished",
+                )),
+            },
+            Err(StoreError::Unknown(detail)) => {
+                self.settle(&log(root.generation), root, detail).await
+            }
+            Err(e) => Err(store_fault(e)),
+        }
+    }
+
+    async fn settle(&self, key: &str, root: &ConfigRoot, detail: String) -> Result<(), Fault> {
+        let unknown = |e: StoreError| Fault::new(Code::AcceptUnknown, format!("{detail}; {e}"));
+        let entry = self.node.store.get(key).await.map_err(unknown)?;
+        match entry.and_then(|e| e.json::<ConfigRoot>()) {
+            Some(found) if found == *root => Ok(()),
+            Some(winner) => Err(conflict(root.generation - 1, &winner, "")),
+            None => Err(Fault::new(Code::AcceptUnknown, detail)),
+        }
+    }
+}
+
+fn accepted(config: &Config, generation: u64) -> ApplyReply {
+    ApplyReply {
+        generation,
+        jobs: config.jobs.iter().map(|j| j.name.clone()).collect(),
+    }
+}
+
+fn conflict(base: u64, winner: &ConfigRoot, difference: &str) -> Fault {
+    let detail = format!(
+        "the base is generation {base}, but {} accepted generation {} ({}){}{difference}",
+        winner.operator,
+        winner.generation,
+        winner.operation,
+        if difference.is_empty() {
+            ""
+        } else {
+            "; it differs: "
+        },
+    );
+    Fault::new(Code::Conflict, detail)
+}
+
+pub(super) fn store_fault(error: StoreError) -> Fault {
+    match error {
+        StoreError::Unknown(detail) => Fault::new(Code::StoreDown, detail),
+        StoreError::Down(detail) | StoreError::Refused(detail) => {
+            Fault::new(Code::StoreDown, detail)
+        }
+    }
+}
+
+/// Splits a file into parts that a value can hold.
+fn split_parts(text: &str) -> Vec<&str> {
+    let mut parts = Vec::new();
+    let mut rest = text;
+    while rest.len() > MAX_PART {
+        let end = (0..=MAX_PART).rev().find(|i| rest.is_char_boundary(*i));
+        let (part, tail) = rest.split_at(end.unwrap_or(MAX_PART));
+        parts.push(part);
+        rest = tail;
+    }
+    parts.push(rest);
+    parts
+}
--- /dev/null
+++ b/crates/roles/src/gateway/jobs.rs
@@ -0,0 +1,192 @@
+//! Jobs: stored before they are acknowledged.
+
+use super::Gateway;
+use super::apply::store_fault;
+use hibiscusbarrow_adapters::store::Compare;
+use hibiscusbarrow_adapters::store::KeyValue;
+use hibiscusbarrow_adapters::store::RequestOp;
+use hibiscusbarrow_adapters::store::StoreError;
+use hibiscusbarrow_adapters::store::TxnRequest;
+use hibiscusbarrow_model::code::Code;
+use hibiscusbarrow_model::code::Fault;
+use hibiscusbarrow_model::config::MAX_GANG;
+use hibiscusbarrow_model::config::is_name;
+use hibiscusbarrow_model::event::Event;
+use hibiscusbarrow_model::job::JobRecord;
+use hibiscusbarrow_model::job::JobSpec;
+use hibiscusbarrow_model::job::JobView;
+use hibiscusbarrow_model::job::Phase;
+use hibiscusbarrow_model::state::JOBS;
+
+/// The tries to change a record that others change as well.
+const MAX_TRIES: usize = 5;
+
+impl Gateway {
+    fn job_key(&self, name: &str) -> String {
+        format!("{JOBS}{}/{name}", self.node.settings.region)
+    }
+
+    /// Stores a job and acknowledges it.
+    pub(super) async fn submit(&self, spec: JobSpec) -> Result<JobView, Fault> {
+        self.check_spec(&spec)?;
+        let record = JobRecord {
+            spec,
+            phase: Phase::Accepted,
+            accepted: self.node.clock.wall_ms(),
+            attempts: 0,
+            workers: Vec::new(),
+        };
+        let key = self.job_key(&record.spec.name);
+        let request = TxnRequest {
+            compare: vec![Compare::unchanged(&key, 0)],
+            success: vec![RequestOp::put(&key, &record, 0)],
+            failure: vec![RequestOp::get(&key)],
+        };
+        let found = match self.node.store.txn(&request).await {
+            Ok(reply) if reply.succeeded => None,
+            Ok(reply) => reply.found().cloned(),
+            Err(StoreError::Unknown(detail)) => self.settle_submit(&key, &detail).await?,
+            Err(e) => return Err(Fault::new(Code::NotAccepted, e.to_string())),
+        };
+        check_same(&record, found)?;
+        let (name, account) = (record.spec.name.clone(), record.spec.account.clone());
+        self.node
+            .log
+            .note_for(Event::JobAccepted, name, account, "");
+        self.placer.wake(&record.spec.name).await;
+        Ok(view(&record, "waiting", "accepted"))
+    }
+
+    fn check_spec(&self, spec: &JobSpec) -> Result<(), Fault> {
+        let loaded = self.node.require_config()?;
+        if !is_name(&spec.name) {
+            return Err(Fault::new(
+                Code::OutOfRange,
+                format!("{:?} is not a name", spec.name),
+            ));
+        }
+        if loaded.config.account(&spec.account).is_none() {
+            let detail = format!("no account is named {:?}", spec.account);
+            return Err(Fault::new(Code::UnknownAccount, detail));
+        }
+        let size = spec.accelerators();
+        if spec.count == 0 || size > MAX_GANG {
+            let detail = format!("a gang has 1 to {MAX_GANG} accelerators, not {size}");
+            return Err(Fault::new(Code::OutOfRange, detail));
+        }
+        Ok(())
+    }
+
+    async fn settle_submit(&self, key: &str, detail: &str) -> Result<Option<KeyValue>, Fault> {
+        let unknown = |e| Fault::new(Code::AcceptUnknown, format!("{detail}; {e}"));
+        let entry = self.node.store.get(key).await.map_err(unknown)?;
+        if entry.is_none() {
+            return Err(Fault::new(Code::AcceptUnknown, detail));
+        }
+        Ok(entry)
+    }
+
+    /// Returns one job.
+    pub(super) async fn job(&self, name: &str) -> Result<JobView, Fault> {
+        let entry = self
+            .node
+            .store
+            .get(&self.job_key(name))
+            .await
+            .map_err(store_fault)?;
+        let record = entry.and_then(|e| e.json::<JobRecord>());
+        let record = record.ok_or_else(|| unknown_job(name))?;
+        self.describe(record).await
+    }
+
+    async fn describe(&self, record: JobRecord) -> Result<JobView, Fault> {
+        match record.phase {
+            Phase::Done => return Ok(view(&record, "done", "")),
+            Phase::Cancelled => return Ok(view(&record, "cancelled", "")),
+            Phase::Accepted => {}
+        }
+        let placed = self.placer.job(&record.spec.name).await;
+        Ok(placed.unwrap_or_else(|| view(&record, "waiting", "no placer of the region answered")))
+    }
+
+    /// Returns every job that the store remembers.
+    pub(super) async fn jobs(&self) -> Result<Vec<JobView>, Fault> {
+        let entries = self
+            .node
+            .store
+            .list(&self.job_key(""))
+            .await
+            .map_err(store_fault)?;
+        let mut views = Vec::new();
+        let placed = self.placer.view().await.unwrap_or_default().jobs;
+        for record in entries.iter().filter_map(|e| e.json::<JobRecord>()) {
+            let known = placed.iter().find(|v| v.spec.name == record.spec.name);
+            views.push(match (record.phase, known) {
+                (Phase::Done, _) => view(&record, "done", ""),
+                (Phase::Cancelled, _) => view(&record, "cancelled", ""),
+                (Phase::Accepted, Some(known)) => known.clone(),
+                (Phase::Accepted, None) => view(&record, "waiting", ""),
+            });
+        }
+        Ok(views)
+    }
+
+    /// Cancels a job that is not finished.
+    pub(super) async fn cancel(&self, name: &str) -> Result<JobView, Fault> {
+        let key = self.job_key(name);
+        for _ in 0..MAX_TRIES {
+            let entry = self.node.store.get(&key).await.map_err(store_fault)?;
+            let entry = entry.ok_or_else(|| unknown_job(name))?;
+            let mut record: JobRecord = entry.json().ok_or_else(|| unknown_job(name))?;
+            match record.phase {
+                Phase::Done => return Ok(view(&record, "done", "it had finished before")),
+                Phase::Cancelled => return Ok(view(&record, "cancelled", "")),
+                Phase::Accepted => record.phase = Phase::Cancelled,
+            }
+            let request = TxnRequest {
+                compare: vec![Compare::unchanged(&key, entry.mod_revision)],
+                success: vec![RequestOp::put(&key, &record, 0)],
+                ..TxnRequest::default()
+            };
+            match self.node.store.txn(&request).await {
+                Ok(reply) if reply.succeeded => {
+                    let (name, account) = (record.spec.name.clone(), record.spec.account.clone());
+                    self.node
+                        .log
+                        .note_for(Event::JobCancelled, name, account, "");
+                    self.placer.wake(&record.spec.name).await;
+                    return Ok(view(&record, "cancelled", ""));
+                }
+                Ok(_) | Err(StoreError::Unknown(_)) => {}
+                Err(e) => return Err(store_fault(e)),
+            }
+        }
+        Err(Fault::new(
+            Code::Conflict,
+            "the job kept changing; try again",
+        ))
+    }
+}
+
+fn check_same(record: &JobRecord, found: Option<KeyValue>) -> Result<(), Fault> {
+    let held = found.and_then(|e| e.json::<JobRecord>());
+    if held.is_none_or(|h| h.spec == record.spec) {
+        return Ok(());
+    }
+    let detail = format!("another job is named {:?}", record.spec.name);
+    Err(Fault::new(Code::JobExists, detail))
+}
+
+fn unknown_job(name: &str) -> Fault {
+    Fault::new(Code::JobUnknown, format!("no job is named {name:?}"))
+}
+
+fn view(record: &JobRecord, state: &str, reason: &str) -> JobView {
+    JobView {
+        spec: record.spec.clone(),
+        state: state.into(),
+        reason: reason.into(),
+        guaranteed: false,
+        workers: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/roles/src/gateway/mod.rs
@@ -0,0 +1,116 @@
+//! The gateway: callers' requests and operators' commands.
+
+mod apply;
+mod claim;
+mod jobs;
+mod operator;
+mod route;
+
+use crate::node::Node;
+use crate::placer::Placer;
+use compio::net::TcpListener;
+use hibiscusbarrow_adapters::http::Limits;
+use hibiscusbarrow_adapters::http::Reply;
+use hibiscusbarrow_adapters::http::Request;
+use hibiscusbarrow_adapters::http::serve as serve_http;
+use hibiscusbarrow_adapters::http::text_reply;
+use hibiscusbarrow_adapters::rpc;
+use hibiscusbarrow_adapters::rpc::ForwardReply;
+use hibiscusbarrow_adapters::rpc::Handlers;
+use hibiscusbarrow_adapters::signal::Flag;
+use hibiscusbarrow_coordination::membership::Role;
+use hibiscusbarrow_model::code::Code;
+use hibiscusbarrow_model::event::Event;
+use hibiscusbarrow_model::settings::Settings;
+use route::Router;
+use slog::Logger;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The largest body of a caller or operator, in bytes.
+const MAX_BODY: usize = 16 << 20;
+/// The time for which a stopping gateway still takes requests, so that the
+/// balancer can see that it is not ready.
+const STOP_NOTICE: Duration = Duration::from_millis(1500);
+
+/// Holds the parts of a gateway.
+#[derive(Clone)]
+pub(crate) struct Gateway {
+    pub node: Rc<Node>,
+    pub router: Rc<Router>,
+    pub placer: Placer,
+}
+
+/// Runs a gateway until `stop` is raised and everything in flight is answered.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound.
+pub async fn run(settings: Settings, logger: Logger, stop: Flag) -> anyhow::Result<()> {
+    let http = TcpListener::bind(settings.http).await?;
+    let peers = TcpListener::bind(settings.peer).await?;
+    let node = Node::start(settings, Role::Gateway, logger, stop.clone()).await?;
+    let gateway = Gateway {
+        router: Rc::new(Router::new(node.clone())),
+        placer: Placer::start(node.clone()),
+        node: node.clone(),
+    };
+    let closed = Flag::default();
+    compio::runtime::spawn(rpc::serve(peers, handlers(&node), closed.clone())).detach();
+    compio::runtime::spawn(node.clone().follow_config()).detach();
+    compio::runtime::spawn(announce_drain(node.clone())).detach();
+    node.log_start();
+    let limits = Limits {
+        body: MAX_BODY,
+        notice: STOP_NOTICE,
+        ..Limits::default()
+    };
+    let placer = gateway.placer.clone();
+    let handler = move |request| handle(gateway.clone(), request);
+    serve_http(http, limits, stop, handler).await;
+    placer.resign().await;
+    node.depart().await;
+    closed.raise();
+    node.log
+        .note(Event::Stopped, node.settings.name.clone(), "");
+    Ok(())
+}
+
+async fn announce_drain(node: Rc<Node>) {
+    node.stop.wait().await;
+    node.log
+        .note(Event::DrainBegan, node.settings.name.clone(), "");
+    node.announce_leave();
+}
+
+fn handlers(node: &Rc<Node>) -> Handlers {
+    let node = node.clone();
+    Handlers {
+        forward: Rc::new(|_| {
+            let refused = ForwardReply::failure(Code::NoUpstream, "a gateway has no upstream");
+            Box::pin(std::future::ready(refused))
+        }),
+        config: Rc::new(move |above| node.encoded_config(above)),
+    }
+}
+
+async fn handle(gateway: Gateway, request: Request) -> Reply {
+    let path = request.path.clone();
+    if let Some(rest) = path.strip_prefix("/v1/services/") {
+        return gateway.router.clone().serve(rest, request).await;
+    }
+    match path.as_str() {
+        "/healthz" => text_reply(200, "ok\n"),
+        "/readyz" if gateway.is_ready() => text_reply(200, "ready\n"),
+        "/readyz" => text_reply(503, "not ready\n"),
+        "/metrics" => text_reply(200, gateway.node.metrics.render()),
+        _ => gateway.operate(request).await,
+    }
+}
+
+impl Gateway {
+    /// Tells whether the balancer should choose this gateway.
+    fn is_ready(&self) -> bool {
+        !self.node.stop.is_raised() && self.node.generation() > 0
+    }
+}
--- /dev/null
+++ b/crates/roles/src/gateway/operator.rs
@@ -0,0 +1,66 @@
+//! Operators' commands over HTTP.
+
+use super::Gateway;
+use hibiscusbarrow_adapters::http::Reply;
+use hibiscusbarrow_adapters::http::Request;
+use hibiscusbarrow_adapters::http::fault_reply;
+use hibiscusbarrow_adapters::http::json_reply;
+use hibiscusbarrow_model::code::Code;
+use hibiscusbarrow_model::code::Fault;
+use hibiscusbarrow_model::job::JobSpec;
+use hibiscusbarrow_model::state::ApplyRequest;
+use hibiscusbarrow_model::state::Status;
+use serde::Serialize;
+
+impl Gateway {
+    /// Carries one command out.
+    pub(super) async fn operate(&self, request: Request) -> Reply {
+        let path = request.path.clone();
+        if let Some(name) = path.strip_prefix("/v1/jobs/") {
+            return match request.method.as_str() {
+                "GET" => reply(self.job(name).await),
+                "DELETE" => reply(self.cancel(name).await),
+                _ => no_such(&request),
+            };
+        }
+        match (request.method.as_str(), path.as_str()) {
+            ("POST", "/v1/config") => match request.json::<ApplyRequest>() {
+                Ok(apply) => reply(self.apply(apply).await),
+                Err(fault) => fault_reply(&fault),
+            },
+            ("GET", "/v1/config") => reply(self.config().await),
+            ("POST", "/v1/jobs") => match request.json::<JobSpec>() {
+                Ok(spec) => reply(self.submit(spec).await),
+                Err(fault) => fault_reply(&fault),
+            },
+            ("GET", "/v1/jobs") => reply(self.jobs().await),
+            ("GET", "/v1/status") => json_reply(200, &self.status().await),
+            ("GET", "/v1/events") => json_reply(200, &self.node.log.records()),
+            ("POST", placer) if placer.starts_with("/v1/placer/") => {
+                self.placer.serve(&request).await
+            }
+            _ => no_such(&request),
+        }
+    }
+
+    async fn status(&self) -> Status {
+        Status {
+            name: self.node.settings.name.clone(),
+            generation: self.node.generation(),
+            members: self.node.member_views(),
+            placer: self.placer.view().await,
+        }
+    }
+}
+
+fn no_such(request: &Request) -> Reply {
+    let detail = format!("no such operation: {} {}", request.method, request.path);
+    fault_reply(&Fault::new(Code::BadRequest, detail))
+}
+
+fn reply(result: Result<impl Serialize, Fault>) -> Reply {
+    match result {
+        Ok(value) => json_reply(200, &value),
+        Err(fault) => fault_reply(&fault),
+    }
+}
--- /dev/null
+++ b/crates/roles/src/gateway/route.rs
@@ -0,0 +1,360 @@
+//! Routes callers' requests: limits, choice of upstream, retries, outcomes.
+
+use super::claim::Claims;
+use crate::node::Loaded;
+use crate::node::Node;
+use hibiscusbarrow_adapters::http::Reply;
+use hibiscusbarrow_adapters::http::Request;
+use hibiscusbarrow_adapters::http::fault_reply;
+use hibiscusbarrow_adapters::rpc::ForwardReply;
+use hibiscusbarrow_adapters::rpc::ForwardRequest;
+use hibiscusbarrow_adapters::rpc::RpcError;
+use hibiscusbarrow_coordination::balance::Balancer;
+use hibiscusbarrow_coordination::bucket::Bucket;
+use hibiscusbarrow_coordination::budget::RetryBudget;
+use hibiscusbarrow_model::code::Code;
+use hibiscusbarrow_model::code::Fault;
+use hibiscusbarrow_model::event::Event;
+use http::HeaderName;
+use http::HeaderValue;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use smol_str::SmolStr;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The longest idempotency key, in bytes.
+const MAX_KEY: usize = 200;
+/// The longest deadline that a caller may ask for.
+const MAX_DEADLINE: Duration = Duration::from_secs(3600);
+/// The time past the deadline for which a sidecar's own verdict is awaited.
+const VERDICT_GRACE: Duration = Duration::from_millis(250);
+
+/// Header fields of a caller that are not passed on.
+const OWN_FIELDS: [&str; 9] = [
+    "connection",
+    "content-length",
+    "host",
+    "idempotency-key",
+    "transfer-encoding",
+    "x-account",
+    "x-deadline-ms",
+    "x-idempotent",
+    "x-request-id",
+];
+
+/// Holds a request with what the gateway decided about it.
+pub(super) struct Call {
+    pub request: ForwardRequest,
+    pub idempotent: bool,
+    pub deadline: Duration,
+    /// Sidecars that refused or failed.
+    pub tried: Vec<SmolStr>,
+    /// Whether an attempt may have run.
+    pub doubtful: bool,
+}
+
+/// Tells how one attempt ended.
+pub(super) enum Attempt {
+    /// The sidecar answered.
+    Answered(ForwardReply),
+    /// The request never left the gateway.
+    NotSent(String),
+    /// The request was sent and no answer came.
+    Unanswered(String),
+}
+
+/// Chooses upstreams and carries requests to them.
+pub(crate) struct Router {
+    pub(super) node: Rc<Node>,
+    pub(super) claims: Claims,
+    balancer: RefCell<Balancer>,
+    budget: RefCell<RetryBudget>,
+    buckets: RefCell<HashMap<SmolStr, (u64, Bucket)>>,
+    rng: RefCell<SmallRng>,
+}
+
+impl Router {
+    /// Creates a router.
+    pub fn new(node: Rc<Node>) -> Self {
+        Self {
+            claims: Claims::new(node.clone()),
+            balancer: RefCell::new(Balancer::default()),
+            budget: RefCell::new(RetryBudget::default()),
+            buckets: RefCell::new(HashMap::new()),
+            rng: RefCell::new(SmallRng::seed_from_u64(node.life)),
+            node,
+        }
+    }
+
+    /// Serves one request of a caller; `target` is the service and the path at the upstream.
+    pub async fn serve(self: Rc<Self>, target: &str, request: Request) -> Reply {
+        let began = self.node.clock.now();
+        let id = self.node.next_id();
+        let account: SmolStr = request.header("x-account").into();
+        let reply = match self.prepare(target, request, id.clone()) {
+            Ok(call) => self.run(call).await,
+            Err(fault) => Err(fault),
+        };
+        let code = reply
+            .as_ref()
+            .map_or_else(|fault| fault.code, |_| Code::Done);
+        self.node
+            .metrics
+            .request(code.number(), self.node.clock.now() - began);
+        self.log_end(&id, account, &reply);
+        let mut reply = reply.unwrap_or_else(|fault| fault_reply(&fault));
+        let value = HeaderValue::from_str(&id).expect("identifiers are ASCII");
+        reply.headers_mut().insert("x-request-id", value);
+        reply
+    }
+
+    fn log_end(&self, id: &SmolStr, account: SmolStr, reply: &Result<Reply, Fault>) {
+        let (event, detail) = match reply {
+            Ok(reply) => (Event::RequestAnswered, reply.status().to_string()),
+            Err(fault) if fault.code.is_not_run() => (Event::RequestNotRun, fault.to_string()),
+            Err(fault) => (Event::RequestUnknown, fault.to_string()),
+        };
+        self.node.log.note_for(event, id.clone(), account, detail);
+    }
+
+    fn prepare(&self, target: &str, request: Request, id: SmolStr) -> Result<Call, Fault> {
+        let loaded = self.node.require_config()?;
+        let (name, path) = target.split_once('/').unwrap_or((target, ""));
+        let service = loaded.config.service(name).ok_or_else(|| {
+            Fault::new(
+                Code::UnknownService,
+                format!("no service is named {name:?}"),
+            )
+        })?;
+        let account = request.header("x-account");
+        self.check_account(&loaded, account)?;
+        let key = request.header("idempotency-key");
+        if key.len() > MAX_KEY || request.headers.contains_key("idempotency-key") && key.is_empty()
+        {
+            let detail = format!("an idempotency key has 1 to {MAX_KEY} characters of ASCII");
+            return Err(Fault::new(Code::BadRequest, detail));
+        }
+        let idempotent = match request.header("x-idempotent") {
+            "" => service.idempotent,
+            "true" => true,
+            "false" => false,
+            other => {
+                let detail = format!("x-idempotent is {other:?}, not true or false");
+                return Err(Fault::new(Code::BadRequest, detail));
+            }
+        };
+        let limit = deadline_of(&request, service.deadline_ms)?;
+        let query = if request.query.is_empty() { "" } else { "?" };
+        let forward = ForwardRequest {
+            id,
+            account: account.into(),
+            service: service.name.clone(),
+            method: request.method.as_str().into(),
+            path: format!("/{path}{query}{}", request.query).into(),
+            headers: passed_headers(&request),
+            key: key.into(),
+            repeat: false,
+            life: 0,
+            claim: 0,
+            remaining_ms: 0,
+            body: request.body.clone(),
+        };
+        Ok(Call {
+            request: forward,
+            idempotent: idempotent && key.is_empty(),
+            deadline: self.node.clock.now() + limit,
+            tried: Vec::new(),
+            doubtful: false,
+        })
+    }
+
+    fn check_account(&self, loaded: &Loaded, name: &str) -> Result<(), Fault> {
+        let account = loaded.config.account(name).ok_or_else(|| {
+            Fault::new(
+                Code::UnknownAccount,
+                format!("no account is named {name:?}"),
+            )
+        })?;
+        let Some(rate) = &account.rate else {
+            return Ok(());
+        };
+        let now = self.node.clock.now();
+        let generation = loaded.body.root.generation;
+        let mut buckets = self.buckets.borrow_mut();
+        let fresh = || (generation, Bucket::new(rate.rps, rate.burst, now));
+        let entry = buckets.entry(account.name.clone()).or_insert_with(fresh);
+        if entry.0 != generation {
+            *entry = fresh();
+        }
+        if entry.1.take(now) {
+            return Ok(());
+        }
+        let detail = format!("account {name:?} may send {} requests a second", rate.rps);
+        Err(Fault::new(Code::RateLimited, detail))
+    }
+
+    async fn run(&self, mut call: Call) -> Result<Reply, Fault> {
+        self.budget.borrow_mut().request();
+        if call.request.key.is_empty() {
+            self.run_plain(&mut call).await
+        } else {
+            self.run_keyed(&mut call).await
+        }
+    }
+
+    /// Runs a request without a key: elsewhere again only if that cannot double it.
+    async fn run_plain(&self, call: &mut Call) -> Result<Reply, Fault> {
+        loop {
+            let Some(name) = self.choose(call) else {
+                return Err(self.exhausted(call, Code::NoUpstream, Code::NoUpstream.meaning()));
+            };
+            let fault = match self.attempt(call, &name).await {
+                Attempt::Answered(reply) if reply.code == Code::Done => return Ok(to_reply(reply)),
+                Attempt::Answered(reply) => {
+                    call.doubtful |= !reply.code.is_not_run();
+                    Fault::new(reply.code, reply.detail)
+                }
+                Attempt::NotSent(detail) => Fault::new(Code::NotRun, detail),
+                Attempt::Unanswered(detail) => {
+                    call.doubtful = true;
+                    Fault::new(Code::OutcomeUnknown, detail)
+                }
+            };
+            let repeatable = fault.code.is_not_run() || call.idempotent;
+            call.tried.push(name);
+            if !repeatable || !self.may_retry(call) {
+                return Err(self.exhausted(call, fault.code, &fault.detail));
+            }
+            self.log_retry(call, &fault);
+        }
+    }
+
+    pub(super) fn log_retry(&self, call: &Call, fault: &Fault) {
+        let (id, account) = (call.request.id.clone(), call.request.account.clone());
+        self.node
+            .log
+            .note_for(Event::RequestRetried, id, account, fault.to_string());
+    }
+
+    /// Returns the fault of a request that ends without an answer.
+    ///
+    /// Once an attempt may have run, a later refusal does not make it "not run".
+    pub(super) fn exhausted(&self, call: &Call, code: Code, detail: &str) -> Fault {
+        if call.doubtful && code.is_not_run() {
+            let detail = format!("an earlier attempt may have run; then: {detail}");
+            return Fault::new(Code::OutcomeUnknown, detail);
+        }
+        Fault::new(code, detail)
+    }
+
+    /// Takes a retry from the budget if time is left for it.
+    pub(super) fn may_retry(&self, call: &Call) -> bool {
+        self.node.clock.now() < call.deadline && self.budget.borrow_mut().retry()
+    }
+
+    /// Chooses a sidecar that was not tried.
+    pub(super) fn choose(&self, call: &Call) -> Option<SmolStr> {
+        let candidates = self.node.members().upstreams(&call.request.service);
+        let now = self.node.clock.now();
+        let mut rng = self.rng.borrow_mut();
+        self.balancer
+            .borrow()
+            .choose(&candidates, &call.tried, now, &mut *rng)
+    }
+
+    /// Sends a request to one sidecar.
+    pub(super) async fn attempt(&self, call: &mut Call, name: &SmolStr) -> Attempt {
+        let now = self.node.clock.now();
+        let left = call.deadline.saturating_sub(now);
+        let members = self.node.members();
+        let Some(member) = members.live(name) else {
+            return Attempt::NotSent(format!("{name} is gone"));
+        };
+        if left.is_zero() {
+            let late = ForwardReply::failure(Code::DeadlinePassed, Code::DeadlinePassed.meaning());
+            return Attempt::Answered(late);
+        }
+        call.request.remaining_ms = left.as_millis().min(u32::MAX.into()) as u32;
+        self.balancer.borrow_mut().sent(name);
+        let limit = left + VERDICT_GRACE;
+        let outcome = self
+            .node
+            .rpc
+            .forward(member.news.info.addr, &call.request, limit)
+            .await;
+        let now = self.node.clock.now();
+        let mut balancer = self.balancer.borrow_mut();
+        match outcome {
+            Ok(reply) => {
+                if reply.code == Code::Done || reply.code.is_not_run() {
+                    balancer.answered(name, u32::from(reply.running) + u32::from(reply.queued));
+                } else {
+                    balancer.failed(name, now);
+                }
+                Attempt::Answered(reply)
+            }
+            Err(RpcError::NotSent(detail)) => {
+                balancer.failed(name, now);
+                Attempt::NotSent(detail)
+            }
+            Err(RpcError::Unanswered(detail)) => {
+                balancer.failed(name, now);
+                Attempt::Unanswered(detail)
+            }
+        }
+    }
+}
+
+fn deadline_of(request: &Request, default_ms: u32) -> Result<Duration, Fault> {
+    let text = request.header("x-deadline-ms");
+    if text.is_empty() {
+        return Ok(Duration::from_millis(default_ms.into()));
+    }
+    let limit = text.parse().map(Duration::from_millis).unwrap_or_default();
+    if limit.is_zero() || limit > MAX_DEADLINE {
+        let detail = format!(
+            "x-deadline-ms is {text:?}, not a number from 1 to {}",
+            MAX_DEADLINE.as_millis()
+        );
+        return Err(Fault::new(Code::BadRequest, detail));
+    }
+    Ok(limit)
+}
+
+fn passed_headers(request: &Request) -> Vec<(SmolStr, bytes::Bytes)> {
+    let passed = request
+        .headers
+        .iter()
+        .filter(|(n, _)| !OWN_FIELDS.contains(&n.as_str()));
+    passed
+        .map(|(n, v)| {
+            (
+                n.as_str().into(),
+                bytes::Bytes::copy_from_slice(v.as_bytes()),
+            )
+        })
+        .collect()
+}
+
+/// Turns the whole answer of an upstream into a reply to the caller.
+pub(super) fn to_reply(forward: ForwardReply) -> Reply {
+    let mut reply = http::Response::new(forward.body);
+    if let Ok(status) = forward.status.try_into() {
+        *reply.status_mut() = status;
+    }
+    for (name, value) in &forward.headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        let value = HeaderValue::from_bytes(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            reply.headers_mut().append(name, value);
+        }
+    }
+    if forward.repeated {
+        let repeated = HeaderValue::from_static("true");
+        reply.headers_mut().insert("x-repeated", repeated);
+    }
+    reply
+}
--- /dev/null
+++ b/crates/roles/src/node/config.rs
@@ -0,0 +1,179 @@
+//! The configuration in force in a process.
+
+use super::Node;
+use super::gossip::Command;
+use bytes::Bytes;
+use hibiscusbarrow_adapters::store::StoreError;
+use hibiscusbarrow_model::code::Code;
+use hibiscusbarrow_model::code::Fault;
+use hibiscusbarrow_model::config::Config;
+use hibiscusbarrow_model::event::Event;
+use hibiscusbarrow_model::state::CONFIG_ROOT;
+use hibiscusbarrow_model::state::ConfigBody;
+use hibiscusbarrow_model::state::ConfigRoot;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The longest wait for a peer's configuration.
+const PULL_LIMIT: Duration = Duration::from_secs(3);
+/// The gateways of a region that poll the store.
+const WATCHERS: usize = 2;
+/// The tries to read a configuration whose parts are being replaced.
+const READ_TRIES: usize = 3;
+
+/// Holds a configuration with the file that it came from.
+pub struct Loaded {
+    /// The file and its generation.
+    pub body: ConfigBody,
+    /// The parsed file.
+    pub config: Config,
+}
+
+impl Node {
+    /// Returns the configuration in force.
+    pub fn loaded(&self) -> Option<Rc<Loaded>> {
+        self.config.borrow().value().cloned()
+    }
+
+    /// Returns the generation in force; 0 before the first.
+    pub fn generation(&self) -> u64 {
+        self.config.borrow().current()
+    }
+
+    /// Takes a configuration into force if it is newer than the present one.
+    pub fn install(&self, body: ConfigBody) {
+        let generation = body.root.generation;
+        if generation <= self.generation() {
+            return;
+        }
+        let config = match Config::parse("configuration", &body.text) {
+            Ok(config) => config,
+            Err(fault) => {
+                self.log
+                    .note(Event::ConfigRefused, "configuration", fault.to_string());
+                return;
+            }
+        };
+        let operator = body.root.operator.clone();
+        let loaded = Rc::new(Loaded { body, config });
+        if self.config.borrow_mut().offer(generation, loaded) {
+            self.log
+                .note(Event::ConfigApplied, generation.to_string(), operator);
+            self.metrics.level("generation", generation);
+            let _ = self.gossip.unbounded_send(Command::Generation(generation));
+        }
+    }
+
+    /// Returns the encoded configuration if its generation is above the given one.
+    pub fn encoded_config(&self, above: u64) -> Option<(u64, Bytes)> {
+        let loaded = self.loaded()?;
+        let generation = loaded.body.root.generation;
+        if generation <= above {
+            return None;
+        }
+        let body = serde_json::to_vec(&loaded.body).ok()?;
+        self.metrics.control("config_out", body.len());
+        Some((generation, body.into()))
+    }
+
+    /// Pulls the configuration from a peer that has a newer one.
+    pub(super) fn hear_generation(self: Rc<Self>, addr: SocketAddr, generation: u64) {
+        let behind = self.config.borrow_mut().hear(generation);
+        if !behind || self.pulling.replace(true) {
+            return;
+        }
+        compio::runtime::spawn(async move {
+            let above = self.generation();
+            if let Ok(Some((_, bytes))) = self.rpc.config(addr, above, PULL_LIMIT).await {
+                self.metrics.control("config_in", bytes.len());
+                match serde_json::from_slice::<ConfigBody>(&bytes) {
+                    Ok(body) => self.install(body),
+                    Err(e) => self
+                        .log
+                        .note(Event::PeerRefused, addr.to_string(), e.to_string()),
+                }
+            }
+            self.pulling.set(false);
+        })
+        .detach();
+    }
+
+    /// Reads the newest configuration from the store.
+    pub async fn read_config(&self) -> Result<Option<ConfigBody>, StoreError> {
+        for _ in 0..READ_TRIES {
+            let Some(entry) = self.store.get(CONFIG_ROOT).await? else {
+                return Ok(None);
+            };
+            let Some(root) = entry.json::<ConfigRoot>() else {
+                return Ok(None);
+            };
+            if let Some(body) = self.read_parts(root).await? {
+                return Ok(Some(body));
+            }
+        }
+        Err(StoreError::Unknown(
+            "the configuration changed while it was read".into(),
+        ))
+    }
+
+    async fn read_parts(&self, root: ConfigRoot) -> Result<Option<ConfigBody>, StoreError> {
+        let mut text = String::new();
+        for part in &root.parts {
+            let Some(entry) = self.store.get(part).await? else {
+                return Ok(None);
+            };
+            text.push_str(&entry.json::<String>().unwrap_or_default());
+        }
+        Ok(Some(ConfigBody {
+            root,
+            text: text.into(),
+        }))
+    }
+
+    /// Follows the store's configuration while this gateway is one of the few that do.
+    pub async fn follow_config(self: Rc<Self>) {
+        let pause = Duration::from_millis(self.settings.timing.poll_ms);
+        let mut first = true;
+        while !self.stop.is_raised() {
+            if first || self.gateway_rank() < WATCHERS {
+                first = !self.poll_config().await && first;
+            }
+            compio::time::sleep(pause).await;
+        }
+    }
+
+    /// Reads the root and, if it is newer, the parts; returns whether the store answered.
+    async fn poll_config(&self) -> bool {
+        let was_up = self.store.is_up();
+        let result = self.store.get(CONFIG_ROOT).await;
+        self.log_store(was_up);
+        let Ok(entry) = result else { return false };
+        let root = entry.and_then(|e| e.json::<ConfigRoot>());
+        if root.is_none_or(|r| r.generation <= self.generation()) {
+            return true;
+        }
+        match self.read_config().await {
+            Ok(Some(body)) => {
+                self.install(body);
+                true
+            }
+            Ok(None) => true,
+            Err(_) => false,
+        }
+    }
+
+    fn log_store(&self, was_up: bool) {
+        match (was_up, self.store.is_up()) {
+            (true, false) => self.log.note(Event::StoreDown, "store", ""),
+            (false, true) => self.log.note(Event::StoreBack, "store", ""),
+            _ => {}
+        }
+    }
+
+    /// Returns the configuration in force, or the fault that there is none.
+    pub fn require_config(&self) -> Result<Rc<Loaded>, Fault> {
+        self.loaded()
+            .ok_or_else(|| Fault::new(Code::NotReady, Code::NotReady.meaning()))
+    }
+}
--- /dev/null
+++ b/crates/roles/src/node/gossip.rs
@@ -0,0 +1,242 @@
+//! The task that owns the gossip socket and the membership state.
+
+use super::Node;
+use futures_channel::mpsc;
+use futures_channel::oneshot;
+use futures_util::StreamExt;
+use hibiscusbarrow_adapters::gossip::GossipSocket;
+use hibiscusbarrow_coordination::membership::Change;
+use hibiscusbarrow_coordination::membership::Member;
+use hibiscusbarrow_coordination::membership::Message;
+use hibiscusbarrow_coordination::membership::Output;
+use hibiscusbarrow_coordination::membership::Role;
+use hibiscusbarrow_coordination::membership::State;
+use hibiscusbarrow_coordination::membership::Swim;
+use hibiscusbarrow_model::event::Event;
+use hibiscusbarrow_model::state::MemberView;
+use smol_str::SmolStr;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The ticks into which a probe period is divided.
+const TICKS_PER_PERIOD: u64 = 5;
+
+/// Asks the gossip task to do something.
+pub(super) enum Command {
+    /// A datagram came.
+    Datagram(SocketAddr, usize, Option<Message>),
+    /// Joins these peers.
+    Join(Vec<SocketAddr>),
+    /// Reports this configuration generation.
+    Generation(u64),
+    /// Passes on this placer epoch.
+    Epoch(u64),
+    /// Announces what the upstream offers.
+    Service(SmolStr, u16),
+    /// Announces that the process takes no more work.
+    Leave,
+    /// Announces that the process is gone.
+    Depart(oneshot::Sender<()>),
+}
+
+/// Holds a snapshot of the other members.
+#[derive(Default)]
+pub struct MemberTable {
+    /// The members, dead ones included while they are remembered.
+    pub entries: Vec<Member>,
+    /// The role of this process, in words.
+    pub role: &'static str,
+}
+
+impl MemberTable {
+    /// Returns a member that is not dead.
+    pub fn live(&self, name: &str) -> Option<&Member> {
+        let named = self.entries.iter().find(|m| m.news.name == name)?;
+        (named.news.state != State::Dead).then_some(named)
+    }
+
+    /// Lists the sidecars of a service that may get new work.
+    pub fn upstreams(&self, service: &str) -> Vec<SmolStr> {
+        let in_state = |state| {
+            let of_service = self.entries.iter().filter(move |m| m.news.state == state);
+            let of_service = of_service.filter(|m| m.news.info.service == service);
+            of_service.map(|m| m.news.name.clone()).collect::<Vec<_>>()
+        };
+        let alive = in_state(State::Alive);
+        if alive.is_empty() {
+            in_state(State::Suspect)
+        } else {
+            alive
+        }
+    }
+
+    /// Tells whether no other member is known to live.
+    pub fn is_alone(&self) -> bool {
+        self.entries.iter().all(|m| m.news.state == State::Dead)
+    }
+
+    pub(super) fn views(&self) -> Vec<MemberView> {
+        let view = |m: &Member| MemberView {
+            name: m.news.name.clone(),
+            role: role_word(m.news.info.role).into(),
+            state: state_word(m.news.state).into(),
+            generation: m.generation,
+            service: m.news.info.service.clone(),
+            http: m.news.info.http,
+        };
+        self.entries.iter().map(view).collect()
+    }
+}
+
+fn role_word(role: Role) -> &'static str {
+    match role {
+        Role::Gateway => "gateway",
+        Role::Sidecar => "sidecar",
+    }
+}
+
+fn state_word(state: State) -> &'static str {
+    match state {
+        State::Alive => "alive",
+        State::Suspect => "suspect",
+        State::Leaving => "leaving",
+        State::Dead => "dead",
+    }
+}
+
+/// Starts the tasks that own the socket and the state.
+pub(super) fn spawn(
+    node: Rc<Node>,
+    socket: GossipSocket,
+    swim: Swim,
+    commands: mpsc::UnboundedReceiver<Command>,
+) {
+    let socket = Rc::new(socket);
+    compio::runtime::spawn(receive(node.clone(), socket.clone())).detach();
+    compio::runtime::spawn(run(node, socket, swim, commands)).detach();
+}
+
+async fn receive(node: Rc<Node>, socket: Rc<GossipSocket>) {
+    loop {
+        match socket.receive().await {
+            Ok((addr, size, message)) => {
+                let command = Command::Datagram(addr, size, message);
+                if node.gossip.unbounded_send(command).is_err() {
+                    return;
+                }
+            }
+            Err(_) => compio::time::sleep(Duration::from_millis(10)).await,
+        }
+    }
+}
+
+async fn run(
+    node: Rc<Node>,
+    socket: Rc<GossipSocket>,
+    mut swim: Swim,
+    mut commands: mpsc::UnboundedReceiver<Command>,
+) {
+    let pause = Duration::from_millis(node.settings.timing.probe_ms / TICKS_PER_PERIOD);
+    publish(&node, &swim);
+    let mut due = node.clock.now();
+    loop {
+        let wait = due.saturating_sub(node.clock.now());
+        let command = compio::time::timeout(wait, commands.next()).await;
+        let (outputs, done) = match command {
+            Ok(Some(command)) => carry_out(&node, &mut swim, command),
+            Ok(None) => return,
+            Err(_) => {
+                due = node.clock.now() + pause;
+                (swim.tick(node.clock.now()), None)
+            }
+        };
+        act(&node, &socket, &swim, outputs).await;
+        if let Some(done) = done {
+            let _ = done.send(());
+        }
+    }
+}
+
+fn carry_out(
+    node: &Node,
+    swim: &mut Swim,
+    command: Command,
+) -> (Vec<Output>, Option<oneshot::Sender<()>>) {
+    let now = node.clock.now();
+    let outputs = match command {
+        Command::Datagram(addr, size, Some(message)) => {
+            node.metrics.control("gossip_in", size);
+            swim.receive(addr, message, now)
+        }
+        Command::Datagram(addr, _, None) => {
+            node.log
+                .note(Event::PeerRefused, addr.to_string(), "datagram");
+            Vec::new()
+        }
+        Command::Join(seeds) => swim.join(seeds),
+        Command::Generation(generation) => {
+            swim.set_generation(generation);
+            swim.tell()
+        }
+        Command::Epoch(epoch) => {
+            swim.set_epoch(epoch);
+            Vec::new()
+        }
+        Command::Service(service, slots) => {
+            swim.set_service(service, slots);
+            swim.tell()
+        }
+        Command::Leave => swim.leave(),
+        Command::Depart(done) => return (swim.depart(), Some(done)),
+    };
+    (outputs, None)
+}
+
+async fn act(node: &Rc<Node>, socket: &GossipSocket, swim: &Swim, outputs: Vec<Output>) {
+    let mut changed = false;
+    for output in outputs {
+        match output {
+            Output::Send(addr, message) => {
+                if let Ok(size) = socket.send(addr, message).await {
+                    node.metrics.control("gossip_out", size);
+                }
+            }
+            Output::Change(Change::Member(name, state)) => {
+                changed = true;
+                log_member(node, swim, name, state);
+            }
+            Output::Change(Change::Generation(addr, generation)) => {
+                node.clone().hear_generation(addr, generation);
+            }
+            Output::Change(Change::Epoch(epoch)) => {
+                node.epoch.set(node.epoch.get().max(epoch));
+            }
+        }
+    }
+    if changed {
+        publish(node, swim);
+    }
+}
+
+fn log_member(node: &Node, swim: &Swim, name: SmolStr, state: State) {
+    let event = match state {
+        State::Alive => Event::MemberJoined,
+        State::Suspect => Event::MemberSuspected,
+        State::Leaving => Event::MemberLeft,
+        State::Dead => Event::MemberDied,
+    };
+    if let Some(member) = swim.member(&name).filter(|_| state == State::Dead) {
+        node.rpc.forget(member.news.info.addr);
+    }
+    node.log.note(event, name, "");
+}
+
+fn publish(node: &Node, swim: &Swim) {
+    let table = MemberTable {
+        entries: swim.members().cloned().collect(),
+        role: role_word(swim.me().info.role),
+    };
+    node.metrics.level("members", table.entries.len() as u64);
+    *node.members.borrow_mut() = Rc::new(table);
+}
--- /dev/null
+++ b/crates/roles/src/node/mod.rs
@@ -0,0 +1,259 @@
+//! What every process has: membership, configuration, store, logs and metrics.
+
+mod config;
+mod gossip;
+
+pub use config::Loaded;
+pub use gossip::MemberTable;
+
+use futures_channel::mpsc;
+use gossip::Command;
+use hibiscusbarrow_adapters::gossip::GossipSocket;
+use hibiscusbarrow_adapters::gossip::Seal;
+use hibiscusbarrow_adapters::http::HttpClient;
+use hibiscusbarrow_adapters::log::EventLog;
+use hibiscusbarrow_adapters::metrics::Metrics;
+use hibiscusbarrow_adapters::rpc::RpcClient;
+use hibiscusbarrow_adapters::signal::Flag;
+use hibiscusbarrow_adapters::store::Store;
+use hibiscusbarrow_coordination::clock::Clock;
+use hibiscusbarrow_coordination::generation::Generation;
+use hibiscusbarrow_coordination::membership::Info;
+use hibiscusbarrow_coordination::membership::Role;
+use hibiscusbarrow_coordination::membership::State;
+use hibiscusbarrow_coordination::membership::Swim;
+use hibiscusbarrow_coordination::membership::SwimTiming;
+use hibiscusbarrow_model::event::Event;
+use hibiscusbarrow_model::settings::Settings;
+use hibiscusbarrow_model::state::MemberView;
+use hibiscusbarrow_model::state::SEEDS;
+use slog::Logger;
+use smol_str::SmolStr;
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The share of a probe period that a direct answer may take.
+const PROBE_TIMEOUT_SHARE: u32 = 2;
+/// The life of a gateway's entry among the first peers.
+const SEED_LIFE: Duration = Duration::from_secs(60);
+
+/// Holds what the tasks of one process share.
+pub struct Node {
+    /// The settings.
+    pub settings: Settings,
+    /// The clock.
+    pub clock: Clock,
+    /// The event log.
+    pub log: EventLog,
+    /// The instruments.
+    pub metrics: Rc<Metrics>,
+    /// The key-value service.
+    pub store: Store,
+    /// The HTTP client.
+    pub http: Rc<HttpClient>,
+    /// The RPC client.
+    pub rpc: RpcClient,
+    /// Distinguishes this life of the process from others of its name.
+    pub life: u64,
+    /// Raised when a planned stop begins.
+    pub stop: Flag,
+    config: RefCell<Generation<Rc<Loaded>>>,
+    pulling: Cell<bool>,
+    members: RefCell<Rc<MemberTable>>,
+    epoch: Cell<u64>,
+    gossip: mpsc::UnboundedSender<Command>,
+    sequence: Cell<u64>,
+}
+
+impl Node {
+    /// Starts the shared tasks of a process.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the gossip address cannot be bound.
+    pub async fn start(
+        settings: Settings,
+        role: Role,
+        logger: Logger,
+        stop: Flag,
+    ) -> anyhow::Result<Rc<Self>> {
+        let clock = Clock::system();
+        let life = clock.wall_ms();
+        let metrics = Rc::new(Metrics::new()?);
+        let http = Rc::new(HttpClient::default());
+        let socket = GossipSocket::bind(settings.peer, Seal::new(&settings.secret)).await?;
+        let info = Info {
+            role,
+            region: settings.region.clone(),
+            addr: settings.peer,
+            http: settings.http,
+            life,
+            service: SmolStr::default(),
+            slots: 0,
+        };
+        let period = Duration::from_millis(settings.timing.probe_ms);
+        let timing = SwimTiming {
+            period,
+            timeout: period / PROBE_TIMEOUT_SHARE,
+        };
+        let swim = Swim::new(settings.name.clone(), info, timing, life);
+        let (sender, receiver) = mpsc::unbounded();
+        let node = Rc::new(Self {
+            log: EventLog::new(settings.name.clone(), clock.clone(), logger),
+            store: Store::new(http.clone(), settings.store, metrics.clone()),
+            clock,
+            metrics,
+            http,
+            rpc: RpcClient::default(),
+            life,
+            stop,
+            config: RefCell::new(Generation::default()),
+            pulling: Cell::new(false),
+            members: RefCell::new(Rc::new(MemberTable::default())),
+            epoch: Cell::new(0),
+            gossip: sender,
+            sequence: Cell::new(0),
+            settings,
+        });
+        gossip::spawn(node.clone(), socket, swim, receiver);
+        compio::runtime::spawn(node.clone().find_peers(role)).detach();
+        Ok(node)
+    }
+
+    /// Returns a number that no other call of this process returned.
+    pub fn next_number(&self) -> u64 {
+        self.sequence.replace(self.sequence.get() + 1)
+    }
+
+    /// Returns an identifier that no other call of any process returned.
+    pub fn next_id(&self) -> SmolStr {
+        smol_str::format_smolstr!(
+            "{}-{:x}-{}",
+            self.settings.name,
+            self.life,
+            self.next_number()
+        )
+    }
+
+    /// Returns the members as last published by the gossip task.
+    pub fn members(&self) -> Rc<MemberTable> {
+        self.members.borrow().clone()
+    }
+
+    /// Returns the highest placer epoch heard of in the region.
+    pub fn heard_epoch(&self) -> u64 {
+        self.epoch.get()
+    }
+
+    /// Passes a placer epoch on to the members of the region.
+    pub fn announce_epoch(&self, epoch: u64) {
+        self.epoch.set(self.epoch.get().max(epoch));
+        let _ = self.gossip.unbounded_send(Command::Epoch(epoch));
+    }
+
+    /// Announces what the upstream offers.
+    pub fn announce_service(&self, service: SmolStr, slots: u16) {
+        let _ = self.gossip.unbounded_send(Command::Service(service, slots));
+    }
+
+    /// Announces that the process takes no more work.
+    pub fn announce_leave(&self) {
+        let _ = self.gossip.unbounded_send(Command::Leave);
+    }
+
+    /// Announces that the process is gone and waits until that is sent.
+    pub async fn depart(&self) {
+        let (sender, receiver) = futures_channel::oneshot::channel();
+        let _ = self.gossip.unbounded_send(Command::Depart(sender));
+        let _ = receiver.await;
+    }
+
+    /// Describes all members to operators.
+    pub fn member_views(&self) -> Vec<MemberView> {
+        let mut views: Vec<MemberView> = self.members().views();
+        views.push(MemberView {
+            name: self.settings.name.clone(),
+            role: self.members().role.into(),
+            state: if self.stop.is_raised() {
+                "leaving"
+            } else {
+                "alive"
+            }
+            .into(),
+            generation: self.generation(),
+            service: SmolStr::default(),
+            http: self.settings.http,
+        });
+        views.sort_by(|a, b| a.name.cmp(&b.name));
+        views
+    }
+
+    /// Returns the rank of this gateway among the live gateways of its region.
+    pub fn gateway_rank(&self) -> usize {
+        let members = self.members();
+        let peers = members.entries.iter().filter(|m| {
+            m.news.info.role == Role::Gateway
+                && m.news.state == State::Alive
+                && m.news.info.region == self.settings.region
+        });
+        peers.filter(|m| m.news.name < self.settings.name).count()
+    }
+
+    /// Joins the peers that the settings and the store name; gateways enter themselves there.
+    async fn find_peers(self: Rc<Self>, role: Role) {
+        let mut lease = 0;
+        while !self.stop.is_raised() {
+            if role == Role::Gateway {
+                self.enter_seed(&mut lease).await;
+            }
+            if self.members().is_alone() {
+                let mut seeds = self.settings.seeds.clone();
+                seeds.extend(self.stored_seeds().await);
+                let _ = self.gossip.unbounded_send(Command::Join(seeds));
+            }
+            let alone = self.members().is_alone();
+            let pause = if alone {
+                Duration::from_millis(500)
+            } else {
+                SEED_LIFE / 4
+            };
+            compio::time::sleep(pause).await;
+        }
+    }
+
+    async fn stored_seeds(&self) -> Vec<SocketAddr> {
+        match self.store.list(SEEDS).await {
+            Ok(entries) => entries.iter().filter_map(|e| e.json()).collect(),
+            Err(_) => Vec::new(),
+        }
+    }
+
+    async fn enter_seed(&self, lease: &mut i64) {
+        use hibiscusbarrow_adapters::store::RequestOp;
+        use hibiscusbarrow_adapters::store::TxnRequest;
+        if *lease != 0 && self.store.keep_alive(*lease).await == Ok(true) {
+            return;
+        }
+        let Ok(id) = self.store.grant(SEED_LIFE).await else {
+            return;
+        };
+        let key = format!("{SEEDS}{}", self.settings.name);
+        let request = TxnRequest {
+            success: vec![RequestOp::put(&key, &self.settings.peer, id)],
+            ..TxnRequest::default()
+        };
+        if self.store.txn(&request).await.is_ok() {
+            *lease = id;
+        }
+    }
+
+    /// Logs that the process listens.
+    pub fn log_start(&self) {
+        let detail = format!("http {} peer {}", self.settings.http, self.settings.peer);
+        self.log
+            .note(Event::Started, self.settings.name.clone(), detail);
+    }
+}
--- /dev/null
+++ b/crates/roles/src/placer/gangs.rs
@@ -0,0 +1,155 @@
+//! Gangs under way: commands to their members and what comes back.
+
+use super::workers::Sent;
+use hibiscusbarrow_coordination::gang::Command;
+use hibiscusbarrow_coordination::gang::GangPhase;
+use hibiscusbarrow_coordination::gang::GangRun;
+use hibiscusbarrow_coordination::gang::MemberAck;
+use hibiscusbarrow_model::code::Code;
+use hibiscusbarrow_model::order::MemberState;
+use hibiscusbarrow_model::order::Order;
+use hibiscusbarrow_placement::Cell;
+use smol_str::SmolStr;
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// Holds the part of a gang on one worker.
+#[derive(Debug)]
+pub(super) struct Part {
+    /// The index of the worker's link.
+    pub link: usize,
+    pub mask: u8,
+    /// Whether the worker reported the gang.
+    pub seen: bool,
+    pub done: bool,
+}
+
+/// Holds a gang under way.
+#[derive(Debug)]
+pub(super) struct Gang {
+    pub name: SmolStr,
+    pub job: SmolStr,
+    pub account: SmolStr,
+    pub run: GangRun,
+    pub parts: Vec<Part>,
+    pub work: Duration,
+    pub hold: Duration,
+    /// Whether its end is being stored.
+    pub ending: bool,
+    pub started: bool,
+}
+
+/// Tells what a member's report means for its gang.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Finding {
+    /// Nothing new.
+    None,
+    /// The member's task failed.
+    Failed,
+    /// Every member's task ended well.
+    Finished,
+}
+
+/// Merges the cells of a gang into one part for each worker.
+pub(super) fn parts_of(cells: &[Cell], link: impl Fn(&Cell) -> Option<usize>) -> Option<Vec<Part>> {
+    let mut masks = BTreeMap::new();
+    for cell in cells {
+        *masks.entry(link(cell)?).or_insert(0) |= cell.mask;
+    }
+    let part = |(link, mask)| Part {
+        link,
+        mask,
+        seen: false,
+        done: false,
+    };
+    Some(masks.into_iter().map(part).collect())
+}
+
+/// Returns the name of a gang: its job and the number of the attempt.
+pub(super) fn gang_name(job: &str, attempt: u32) -> SmolStr {
+    smol_str::format_smolstr!("{job}~{attempt}")
+}
+
+/// Returns the job of a gang's name.
+pub(super) fn job_of(gang: &str) -> &str {
+    gang.rsplit_once('~').map_or(gang, |(job, _)| job)
+}
+
+impl Gang {
+    /// Returns the order that carries a command to a member.
+    pub fn order(&self, member: usize, command: Command) -> Order {
+        let gang = self.name.clone();
+        match command {
+            Command::Hold { seq } => Order::Hold {
+                gang,
+                seq,
+                accelerators: bits(self.parts[member].mask),
+                ttl_ms: self.hold.as_millis() as u64,
+            },
+            Command::Run { seq, until } => Order::Run {
+                gang,
+                seq,
+                until_ms: until.as_millis() as u64,
+                work_ms: self.work.as_millis() as u64,
+            },
+            Command::Stop => Order::Stop { gang },
+            Command::Release => Order::Release { gang },
+        }
+    }
+
+    /// Takes in how a command ended.
+    pub fn note_result(&mut self, sent: &Sent, code: Code, now: Duration) {
+        let ack = match (sent.command, code) {
+            (Command::Hold { seq }, Code::Done) => MemberAck::Held(seq),
+            (Command::Run { seq, .. }, Code::Done) => MemberAck::Running(seq),
+            (Command::Stop, Code::Done) => MemberAck::Stopped,
+            (Command::Release, Code::Done) => MemberAck::Released,
+            (Command::Run { .. }, Code::NoHold) => MemberAck::Lost,
+            _ => return,
+        };
+        self.run.ack(sent.member, ack, now);
+    }
+
+    /// Takes in what a worker reports of a member; nothing if it does not know the gang.
+    pub fn note_report(
+        &mut self,
+        member: usize,
+        state: Option<MemberState>,
+        now: Duration,
+    ) -> Finding {
+        let part = &mut self.parts[member];
+        let Some(state) = state else {
+            if part.seen && self.run.phase() != GangPhase::Releasing {
+                self.run.ack(member, MemberAck::Lost, now);
+            }
+            if part.seen {
+                self.run.ack(member, MemberAck::Released, now);
+            }
+            return Finding::None;
+        };
+        part.seen = true;
+        match state {
+            MemberState::Failed => return Finding::Failed,
+            MemberState::Done => part.done = true,
+            MemberState::Stopped if self.run.phase() == GangPhase::Running => {
+                self.run.ack(member, MemberAck::Lost, now);
+            }
+            MemberState::Held | MemberState::Running | MemberState::Stopped => {}
+        }
+        if self.parts.iter().all(|p| p.done) {
+            return Finding::Finished;
+        }
+        Finding::None
+    }
+}
+
+/// Returns the indices of the bits of a mask.
+pub(super) fn bits(mask: u8) -> Vec<u16> {
+    (0..8).filter(|bit| mask >> bit & 1 == 1).collect()
+}
+
+/// Returns the mask of accelerator indices.
+pub(super) fn mask_of(accelerators: &[u16]) -> u8 {
+    let small = accelerators.iter().filter(|i| **i < 8);
+    small.fold(0, |mask, i| mask | 1 << i)
+}
--- /dev/null
+++ b/crates/roles/src/placer/mod.rs
@@ -0,0 +1,182 @@
+//! The placer: one per region decides where gangs run.
+//!
+//! Every gateway of a region runs the task; the one that holds the region's
+//! lease in the store places, the others pass questions on to it.
+
+mod election;
+mod gangs;
+mod rebuild;
+mod records;
+mod task;
+mod workers;
+
+use crate::node::Node;
+use election::Holder;
+use futures_channel::mpsc;
+use futures_channel::oneshot;
+use hibiscusbarrow_adapters::http::Reply;
+use hibiscusbarrow_adapters::http::Request;
+use hibiscusbarrow_adapters::http::fault_reply;
+use hibiscusbarrow_adapters::http::json_reply;
+use hibiscusbarrow_model::code::Code;
+use hibiscusbarrow_model::code::Fault;
+use hibiscusbarrow_model::config::Config;
+use hibiscusbarrow_model::job::JobView;
+use hibiscusbarrow_model::state::PlacerView;
+use hibiscusbarrow_placement::AccountSpec;
+use serde_json::json;
+use smol_str::SmolStr;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use task::Ask;
+use task::Task;
+
+/// The longest wait for the placer of another gateway.
+const PEER_LIMIT: Duration = Duration::from_secs(3);
+
+/// Reaches the placer of the region, wherever it is.
+#[derive(Clone)]
+pub struct Placer {
+    node: Rc<Node>,
+    asks: mpsc::UnboundedSender<Ask>,
+    holder: Rc<RefCell<Holder>>,
+}
+
+impl Placer {
+    /// Starts the task of this gateway.
+    pub fn start(node: Rc<Node>) -> Self {
+        let (asks, receiver) = mpsc::unbounded();
+        let holder = Rc::new(RefCell::new(Holder::Unknown));
+        let task = Task::new(node.clone(), asks.clone(), holder.clone());
+        compio::runtime::spawn(task.run(receiver)).detach();
+        Self { node, asks, holder }
+    }
+
+    /// Gives the lease up, so that another gateway takes it at once.
+    pub async fn resign(&self) {
+        let _ = self.ask(Ask::Resign).await;
+    }
+
+    /// Has the placer read a job from the store.
+    pub async fn wake(&self, name: &SmolStr) {
+        match self.remote() {
+            Some(addr) => {
+                let _: Result<serde_json::Value, Fault> =
+                    self.post(addr, "/v1/placer/wake", name).await;
+            }
+            None => {
+                let _ = self.asks.unbounded_send(Ask::Wake(name.clone()));
+            }
+        }
+    }
+
+    /// Returns the placer's view of the region, if one answers.
+    pub async fn view(&self) -> Option<PlacerView> {
+        if let Some(addr) = self.remote() {
+            return self.post(addr, "/v1/placer/view", &json!({})).await.ok();
+        }
+        self.ask(Ask::View).await.flatten()
+    }
+
+    /// Returns the placer's view of one job.
+    pub async fn job(&self, name: &SmolStr) -> Option<JobView> {
+        self.view()
+            .await?
+            .jobs
+            .into_iter()
+            .find(|j| j.spec.name == *name)
+    }
+
+    /// Checks that the hardware of the region can pack the guarantees of a configuration.
+    pub async fn check_quotas(&self, config: &Config) -> Result<(), Fault> {
+        if config.accounts.iter().all(|a| a.quota.is_empty()) {
+            return Ok(());
+        }
+        if let Some(addr) = self.remote() {
+            let _: serde_json::Value = self.post(addr, "/v1/placer/quotas", config).await?;
+            return Ok(());
+        }
+        let accounts = account_specs(config);
+        let answer = self.ask(|sender| Ask::Quotas(accounts, sender)).await;
+        answer.unwrap_or_else(|| Err(Fault::new(Code::NotPlacer, Code::NotPlacer.meaning())))
+    }
+
+    /// Answers another gateway.
+    pub async fn serve(&self, request: &Request) -> Reply {
+        if self.remote().is_some() {
+            return fault_reply(&Fault::new(
+                Code::NotPlacer,
+                "another gateway holds the lease",
+            ));
+        }
+        match request.path.as_str() {
+            "/v1/placer/wake" => match request.json::<SmolStr>() {
+                Ok(name) => {
+                    let _ = self.asks.unbounded_send(Ask::Wake(name));
+                    json_reply(200, &json!({}))
+                }
+                Err(fault) => fault_reply(&fault),
+            },
+            "/v1/placer/view" => match self.ask(Ask::View).await.flatten() {
+                Some(view) => json_reply(200, &view),
+                None => fault_reply(&Fault::new(Code::NotPlacer, Code::NotPlacer.meaning())),
+            },
+            "/v1/placer/quotas" => match request.json::<Config>() {
+                Ok(config) => match self.check_quotas(&config).await {
+                    Ok(()) => json_reply(200, &json!({})),
+                    Err(fault) => fault_reply(&fault),
+                },
+                Err(fault) => fault_reply(&fault),
+            },
+            path => fault_reply(&Fault::new(
+                Code::BadRequest,
+                format!("no such path: {path}"),
+            )),
+        }
+    }
+
+    /// Returns the address of the holder if it is another gateway.
+    fn remote(&self) -> Option<SocketAddr> {
+        match &*self.holder.borrow() {
+            Holder::Other(addr) => Some(*addr),
+            Holder::Unknown | Holder::Me => None,
+        }
+    }
+
+    async fn ask<T>(&self, ask: impl FnOnce(oneshot::Sender<T>) -> Ask) -> Option<T> {
+        let (sender, receiver) = oneshot::channel();
+        self.asks.unbounded_send(ask(sender)).ok()?;
+        receiver.await.ok()
+    }
+
+    async fn post<T: serde::de::DeserializeOwned>(
+        &self,
+        addr: SocketAddr,
+        path: &str,
+        body: &impl serde::Serialize,
+    ) -> Result<T, Fault> {
+        let call = self
+            .node
+            .http
+            .post_json::<serde_json::Value>(addr, path, body, PEER_LIMIT);
+        let (status, value) = call
+            .await
+            .map_err(|e| Fault::new(Code::NotPlacer, e.to_string()))?;
+        if status != 200 {
+            return Err(serde_json::from_value(value)
+                .unwrap_or_else(|_| Fault::new(Code::NotPlacer, Code::NotPlacer.meaning())));
+        }
+        serde_json::from_value(value).map_err(|e| Fault::new(Code::Internal, e.to_string()))
+    }
+}
+
+fn account_specs(config: &Config) -> Vec<AccountSpec> {
+    let spec = |a: &hibiscusbarrow_model::config::ClientAccount| AccountSpec {
+        name: a.name.clone(),
+        weight: a.weight,
+        quota: a.quota.clone(),
+    };
+    config.accounts.iter().map(spec).collect()
+}
--- /dev/null
+++ b/crates/roles/src/placer/records.rs
@@ -0,0 +1,128 @@
+//! Job records in the store, read and written by the placer.
+
+use super::task::Ask;
+use crate::node::Node;
+use futures_channel::mpsc;
+use hibiscusbarrow_adapters::store::Compare;
+use hibiscusbarrow_adapters::store::KeyValue;
+use hibiscusbarrow_adapters::store::RequestOp;
+use hibiscusbarrow_adapters::store::StoreError;
+use hibiscusbarrow_adapters::store::TxnRequest;
+use hibiscusbarrow_model::job::JobRecord;
+use hibiscusbarrow_model::job::JobSpec;
+use hibiscusbarrow_model::job::Phase;
+use hibiscusbarrow_model::state::JOBS;
+use smol_str::SmolStr;
+use std::rc::Rc;
+
+/// Holds a job record with the revision of its key.
+#[derive(Clone, Debug)]
+pub(super) struct Known {
+    pub record: JobRecord,
+    pub revision: i64,
+}
+
+impl Known {
+    pub fn of(entry: &KeyValue) -> Option<Self> {
+        Some(Self {
+            record: entry.json()?,
+            revision: entry.mod_revision,
+        })
+    }
+}
+
+/// Returns the key of a job.
+pub(super) fn job_key(node: &Node, name: &str) -> String {
+    format!("{JOBS}{}/{name}", node.settings.region)
+}
+
+/// Reads one record and passes it to the task.
+pub(super) fn fetch(node: Rc<Node>, asks: mpsc::UnboundedSender<Ask>, name: SmolStr) {
+    compio::runtime::spawn(async move {
+        if let Ok(Some(entry)) = node.store.get(&job_key(&node, &name)).await
+            && let Some(known) = Known::of(&entry)
+        {
+            let _ = asks.unbounded_send(Ask::Record(known));
+        }
+    })
+    .detach();
+}
+
+/// Reads every record of the region and passes them to the task.
+pub(super) fn fetch_all(node: Rc<Node>, asks: mpsc::UnboundedSender<Ask>) {
+    compio::runtime::spawn(async move {
+        let listed = node.store.list(&job_key(&node, "")).await;
+        let records = listed
+            .ok()
+            .map(|l| l.iter().filter_map(Known::of).collect());
+        let _ = asks.unbounded_send(Ask::Records(records));
+    })
+    .detach();
+}
+
+/// Stores a job of the configuration unless one of its name is stored.
+pub(super) fn create(node: Rc<Node>, asks: mpsc::UnboundedSender<Ask>, spec: JobSpec) {
+    compio::runtime::spawn(async move {
+        let key = job_key(&node, &spec.name);
+        let record = JobRecord {
+            spec,
+            phase: Phase::Accepted,
+            accepted: node.clock.wall_ms(),
+            attempts: 0,
+            workers: Vec::new(),
+        };
+        let request = TxnRequest {
+            compare: vec![Compare::unchanged(&key, 0)],
+            success: vec![RequestOp::put(&key, &record, 0)],
+            failure: vec![],
+        };
+        if node.store.txn(&request).await.is_ok() {
+            fetch(node, asks, record.spec.name);
+        }
+    })
+    .detach();
+}
+
+/// Replaces a record if it is unchanged and tells the task how that ended.
+pub(super) fn replace(
+    node: Rc<Node>,
+    asks: mpsc::UnboundedSender<Ask>,
+    record: JobRecord,
+    revision: i64,
+) {
+    compio::runtime::spawn(async move {
+        let stored = try_replace(&node, &record, revision).await;
+        let name = record.spec.name.clone();
+        let _ = asks.unbounded_send(Ask::Stored(name, stored.unwrap_or(None)));
+    })
+    .detach();
+}
+
+/// Returns the record as it now stands, if the replacement took effect.
+async fn try_replace(
+    node: &Node,
+    record: &JobRecord,
+    revision: i64,
+) -> Result<Option<Known>, StoreError> {
+    let key = job_key(node, &record.spec.name);
+    let request = TxnRequest {
+        compare: vec![Compare::unchanged(&key, revision)],
+        success: vec![RequestOp::put(&key, record, 0)],
+        failure: vec![],
+    };
+    let revision = match node.store.txn(&request).await {
+        Ok(reply) if reply.succeeded => reply.header.revision,
+        Ok(_) => return Ok(None),
+        Err(StoreError::Unknown(_)) => {
+            let entry = node.store.get(&key).await?;
+            return Ok(entry
+                .and_then(|e| Known::of(&e))
+                .filter(|k| k.record == *record));
+        }
+        Err(e) => return Err(e),
+    };
+    Ok(Some(Known {
+        record: record.clone(),
+        revision,
+    }))
+}
--- /dev/null
+++ b/crates/roles/src/placer/workers.rs
@@ -0,0 +1,87 @@
+//! What the placer knows of each worker, and the batches it sends.
+
+use hibiscusbarrow_adapters::http::HttpClient;
+use hibiscusbarrow_coordination::gang::Command;
+use hibiscusbarrow_model::order::Order;
+use hibiscusbarrow_model::order::OrderBatch;
+use hibiscusbarrow_model::order::OrderReply;
+use hibiscusbarrow_placement::JobKey;
+use hibiscusbarrow_placement::WorkerKey;
+use smol_str::SmolStr;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The longest wait for a worker's answer.
+pub(super) const ORDER_LIMIT: Duration = Duration::from_secs(1);
+/// The shortest time between batches to one worker.
+pub(super) const BATCH_PAUSE: Duration = Duration::from_millis(10);
+
+/// Names the command that an order carries.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Sent {
+    pub job: JobKey,
+    pub member: usize,
+    pub command: Command,
+}
+
+/// Holds what the placer knows of one worker.
+#[derive(Debug)]
+pub(super) struct WorkerLink {
+    pub addr: SocketAddr,
+    pub key: Option<WorkerKey>,
+    pub name: SmolStr,
+    pub incarnation: u64,
+    /// When the last report came.
+    pub seen: Option<Duration>,
+    /// When the last batch was sent.
+    pub sent: Option<Duration>,
+    /// Whether a batch is under way.
+    pub busy: bool,
+    /// Whether it is in service.
+    pub up: bool,
+    /// Gangs on it that no job accounts for.
+    pub orphans: Vec<SmolStr>,
+    /// The latest report, kept while the placer takes over.
+    pub reply: Option<OrderReply>,
+}
+
+impl WorkerLink {
+    pub fn new(addr: SocketAddr) -> Self {
+        Self {
+            addr,
+            key: None,
+            name: SmolStr::default(),
+            incarnation: 0,
+            seen: None,
+            sent: None,
+            busy: false,
+            up: false,
+            orphans: Vec::new(),
+            reply: None,
+        }
+    }
+
+    /// Tells whether a batch may be sent.
+    pub fn is_free(&self, now: Duration) -> bool {
+        !self.busy && self.sent.is_none_or(|sent| now >= sent + BATCH_PAUSE)
+    }
+
+    /// Tells whether a report is due.
+    pub fn wants_report(&self, now: Duration, every: Duration) -> bool {
+        self.sent.is_none_or(|sent| now >= sent + every)
+    }
+}
+
+/// Sends a batch and returns the worker's answer.
+pub(super) async fn send(
+    http: Rc<HttpClient>,
+    addr: SocketAddr,
+    epoch: u64,
+    orders: Vec<Order>,
+) -> Option<OrderReply> {
+    let batch = OrderBatch { epoch, orders };
+    let call = http.post_json::<OrderReply>(addr, "/v1/orders", &batch, ORDER_LIMIT);
+    let (status, reply) = call.await.ok()?;
+    (status == 200).then_some(reply)
+}
--- /dev/null
+++ b/crates/roles/src/sidecar/mod.rs
@@ -0,0 +1,117 @@
+//! The sidecar: the only way to its upstream.
+
+mod forward;
+
+use crate::node::Node;
+use compio::net::TcpListener;
+use forward::Forwarder;
+use hibiscusbarrow_adapters::http::Limits;
+use hibiscusbarrow_adapters::http::Reply;
+use hibiscusbarrow_adapters::http::Request;
+use hibiscusbarrow_adapters::http::fault_reply;
+use hibiscusbarrow_adapters::http::json_reply;
+use hibiscusbarrow_adapters::http::serve as serve_http;
+use hibiscusbarrow_adapters::http::text_reply;
+use hibiscusbarrow_adapters::rpc;
+use hibiscusbarrow_adapters::rpc::Handlers;
+use hibiscusbarrow_adapters::signal::Flag;
+use hibiscusbarrow_coordination::membership::Role;
+use hibiscusbarrow_model::code::Code;
+use hibiscusbarrow_model::code::Fault;
+use hibiscusbarrow_model::event::Event;
+use hibiscusbarrow_model::settings::Settings;
+use hibiscusbarrow_model::state::Announcement;
+use hibiscusbarrow_model::state::Status;
+use serde_json::json;
+use slog::Logger;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The pause between looks at whether work in flight has ended.
+const DRAIN_POLL: Duration = Duration::from_millis(10);
+
+/// Runs a sidecar until `stop` is raised and its work in flight has ended.
+///
+/// # Errors
+///
+/// Fails if an address cannot be bound.
+pub async fn run(settings: Settings, logger: Logger, stop: Flag) -> anyhow::Result<()> {
+    let http = TcpListener::bind(settings.http).await?;
+    let peers = TcpListener::bind(settings.peer).await?;
+    let node = Node::start(settings, Role::Sidecar, logger, stop.clone()).await?;
+    let forwarder = Rc::new(Forwarder::new(node.clone()));
+    let closed = Flag::default();
+    let handlers = handlers(&node, &forwarder);
+    compio::runtime::spawn(rpc::serve(peers, handlers, closed.clone())).detach();
+    let local = {
+        let (node, forwarder) = (node.clone(), forwarder.clone());
+        move |request| handle(node.clone(), forwarder.clone(), request)
+    };
+    compio::runtime::spawn(serve_http(http, Limits::default(), closed.clone(), local)).detach();
+    compio::runtime::spawn(forwarder.clone().watch_upstream()).detach();
+    node.log_start();
+    stop.wait().await;
+    drain(&node, &forwarder).await;
+    closed.raise();
+    Ok(())
+}
+
+async fn drain(node: &Node, forwarder: &Forwarder) {
+    node.log
+        .note(Event::DrainBegan, node.settings.name.clone(), "");
+    node.announce_leave();
+    forwarder.begin_drain();
+    while !forwarder.may_stop() {
+        compio::time::sleep(DRAIN_POLL).await;
+    }
+    node.depart().await;
+    compio::time::sleep(DRAIN_POLL).await;
+    node.log
+        .note(Event::Stopped, node.settings.name.clone(), "");
+}
+
+fn handlers(node: &Rc<Node>, forwarder: &Rc<Forwarder>) -> Handlers {
+    let (node, forwarder) = (node.clone(), forwarder.clone());
+    Handlers {
+        forward: Rc::new(move |request| {
+            let forwarder = forwarder.clone();
+            Box::pin(async move { forwarder.forward(request).await })
+        }),
+        config: Rc::new(move |above| node.encoded_config(above)),
+    }
+}
+
+async fn handle(node: Rc<Node>, forwarder: Rc<Forwarder>, request: Request) -> Reply {
+    match request.path.as_str() {
+        "/v1/announce" => match request.json::<Announcement>() {
+            Ok(announcement) => {
+                forwarder.announced(announcement);
+                json_reply(200, &json!({ "generation": node.generation() }))
+            }
+            Err(fault) => fault_reply(&fault),
+        },
+        "/v1/leave" => {
+            forwarder.upstream_leaves().await;
+            json_reply(200, &json!({}))
+        }
+        "/v1/status" => json_reply(200, &status(&node)),
+        "/v1/events" => json_reply(200, &node.log.records()),
+        "/healthz" => text_reply(200, "ok\n"),
+        "/readyz" if forwarder.is_ready() => text_reply(200, "ready\n"),
+        "/readyz" => text_reply(503, "no upstream\n"),
+        "/metrics" => text_reply(200, node.metrics.render()),
+        path => fault_reply(&Fault::new(
+            Code::BadRequest,
+            format!("no such path: {path}"),
+        )),
+    }
+}
+
+fn status(node: &Node) -> Status {
+    Status {
+        name: node.settings.name.clone(),
+        generation: node.generation(),
+        members: node.member_views(),
+        placer: None,
+    }
+}
--- /dev/null
+++ b/src/cmd/apply.rs
@@ -0,0 +1,62 @@
+//! `hibiscusbarrow apply`.
+
+use super::client;
+use crate::cli;
+use crate::output;
+use anyhow::Result;
+use hibiscusbarrow_model::code::Code;
+use hibiscusbarrow_model::config::Config;
+use hibiscusbarrow_model::state::ApplyReply;
+use hibiscusbarrow_model::state::ApplyRequest;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The tries while the placer takes over or an answer is lost.
+const MAX_TRIES: u32 = 20;
+/// The pause between tries.
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// Applies a file whole, or not at all.
+pub fn execute(args: cli::Apply) -> Result<()> {
+    let text = client::read(&args.file)?;
+    let file = args.file.display().to_string();
+    Config::parse(&file, &text)?;
+    let request = ApplyRequest {
+        file: file.into(),
+        text: text.into(),
+        base: args.base,
+        operator: args.operator.unwrap_or_else(operator).into(),
+        operation: operation().into(),
+    };
+    let reply = client::block_on(send(args.gateway, &request))?;
+    output::show(args.json, &reply, |r| {
+        format!("generation {} accepted", r.generation)
+    });
+    Ok(())
+}
+
+/// Sends a file; the operation's identifier makes repeats harmless.
+pub async fn send(gateway: SocketAddr, request: &ApplyRequest) -> Result<ApplyReply> {
+    let mut tries = 1;
+    loop {
+        let result = client::call(gateway, http::Method::POST, "/v1/config", Some(request)).await;
+        let passing = [Code::NotPlacer, Code::AcceptUnknown, Code::StoreDown];
+        match result {
+            Err(e) if tries < MAX_TRIES && passing.iter().any(|c| client::is(&e, *c)) => {
+                tries += 1;
+                compio::time::sleep(PAUSE).await;
+            }
+            result => return result,
+        }
+    }
+}
+
+/// Returns the name of the user.
+pub fn operator() -> String {
+    std::env::var("USER").unwrap_or_else(|_| "operator".to_owned())
+}
+
+/// Returns an identifier for one operation.
+pub fn operation() -> String {
+    format!("{:016x}", rand::random::<u64>())
+}
--- /dev/null
+++ b/src/cmd/bench.rs
@@ -0,0 +1,4 @@
+//! `hibiscusbarrow bench`.
+pub fn execute(_: crate::cli::Bench) -> anyhow::Result<()> {
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/client.rs
@@ -0,0 +1,77 @@
+//! What operators' commands share: calls to a gateway.
+
+use anyhow::Context;
+use anyhow::Result;
+use hibiscusbarrow_model::code::Code;
+use hibiscusbarrow_model::code::Fault;
+use hibiscusbarrow_model::state::ConfigBody;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+/// The longest wait for a gateway.
+const CALL_LIMIT: Duration = Duration::from_secs(20);
+
+/// Runs a future on a runtime of its own.
+pub fn block_on<T>(future: impl Future<Output = Result<T>>) -> Result<T> {
+    let runtime = compio::runtime::Runtime::new().context("starting the runtime")?;
+    runtime.block_on(future)
+}
+
+/// Reads a file, naming it in the error.
+pub fn read(path: &Path) -> Result<String> {
+    let fault = |e: std::io::Error| Fault::new(Code::Syntax, format!("{}: {e}", path.display()));
+    Ok(std::fs::read_to_string(path).map_err(fault)?)
+}
+
+/// Calls a gateway and parses its answer.
+pub async fn call<T: DeserializeOwned>(
+    gateway: SocketAddr,
+    method: http::Method,
+    path: &str,
+    body: Option<&impl Serialize>,
+) -> Result<T> {
+    let client = cyper::Client::new()?;
+    let mut request = client.request(method, format!("http://{gateway}{path}"))?;
+    if let Some(body) = body {
+        request = request.body(serde_json::to_vec(body)?);
+    }
+    let down = |detail: String| Fault::new(Code::PeerDown, format!("{gateway}: {detail}"));
+    let exchange = async {
+        let response = request.send().await.map_err(|e| down(e.to_string()))?;
+        let status = response.status();
+        let bytes = response.bytes().await.map_err(|e| down(e.to_string()))?;
+        Ok::<_, Fault>((status, bytes))
+    };
+    let limited = compio::time::timeout(CALL_LIMIT, exchange).await;
+    let (status, bytes) = limited.map_err(|_| down("no answer in time".into()))??;
+    if !status.is_success() {
+        let fault: Fault = serde_json::from_slice(&bytes)
+            .with_context(|| format!("{gateway} answered {status} without a result code"))?;
+        return Err(fault.into());
+    }
+    serde_json::from_slice(&bytes).with_context(|| format!("reading the answer of {gateway}"))
+}
+
+/// Reads from a gateway.
+pub async fn get<T: DeserializeOwned>(gateway: SocketAddr, path: &str) -> Result<T> {
+    call(gateway, http::Method::GET, path, None::<&()>).await
+}
+
+/// Returns the accepted configuration, if there is one.
+pub async fn accepted(gateway: SocketAddr) -> Result<Option<ConfigBody>> {
+    match get(gateway, "/v1/config").await {
+        Ok(body) => Ok(Some(body)),
+        Err(e) if is(&e, Code::NotReady) => Ok(None),
+        Err(e) => Err(e),
+    }
+}
+
+/// Tells whether an error carries a result code.
+pub fn is(error: &anyhow::Error, code: Code) -> bool {
+    error
+        .downcast_ref::<Fault>()
+        .is_some_and(|f| f.code == code)
+}
--- /dev/null
+++ b/src/cmd/demo.rs
@@ -0,0 +1,4 @@
+//! `hibiscusbarrow demo`.
+pub fn execute(_: crate::cli::Demo) -> anyhow::Result<()> {
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/gateway.rs
@@ -0,0 +1,39 @@
+//! `hibiscusbarrow gateway`.
+
+use super::client;
+use crate::cli;
+use anyhow::Context;
+use anyhow::Result;
+use hibiscusbarrow_adapters::log;
+use hibiscusbarrow_adapters::signal::Flag;
+use hibiscusbarrow_adapters::signal::termination;
+use hibiscusbarrow_model::settings::Settings;
+
+/// Runs a gateway until it is asked to stop.
+pub fn execute(args: cli::Gateway) -> Result<()> {
+    let settings = load(&args.settings)?;
+    let logger = log::logger(settings.log);
+    client::block_on(async {
+        let stop = stop_flag();
+        let run = hibiscusbarrow_roles::gateway::run(settings, logger, stop);
+        run.await.context("running the gateway")
+    })
+}
+
+/// Loads and checks the settings of a process.
+pub fn load(path: &std::path::Path) -> Result<Settings> {
+    let text = client::read(path)?;
+    Ok(Settings::parse(&path.display().to_string(), &text)?)
+}
+
+/// Returns a flag that is raised when the process is asked to stop.
+pub fn stop_flag() -> Flag {
+    let stop = Flag::default();
+    let raised = stop.clone();
+    compio::runtime::spawn(async move {
+        termination().await;
+        raised.raise();
+    })
+    .detach();
+    stop
+}
--- /dev/null
+++ b/src/cmd/renew.rs
@@ -0,0 +1,58 @@
+//! `hibiscusbarrow renew`.
+
+use super::apply;
+use super::client;
+use crate::cli;
+use crate::output;
+use anyhow::Result;
+use hibiscusbarrow_model::code::Code;
+use hibiscusbarrow_model::code::Fault;
+use hibiscusbarrow_model::config::Config;
+use hibiscusbarrow_model::state::ApplyRequest;
+use hibiscusbarrow_placement::Shape;
+use hibiscusbarrow_placement::ShapeCount;
+
+/// Raises one guarantee on top of the accepted configuration.
+pub fn execute(args: cli::Renew) -> Result<()> {
+    let shape = parse_shape(&args.shape)?;
+    let reply = client::block_on(async {
+        let body = client::accepted(args.gateway).await?;
+        let body = body.ok_or_else(|| Fault::new(Code::NotReady, Code::NotReady.meaning()))?;
+        let mut config = Config::parse("accepted configuration", &body.text)?;
+        raise(&mut config, &args.account, shape, args.count)?;
+        let request = ApplyRequest {
+            file: "renewal".into(),
+            text: serde_json::to_string_pretty(&config)?.into(),
+            base: Some(body.root.generation),
+            operator: apply::operator().into(),
+            operation: apply::operation().into(),
+        };
+        apply::send(args.gateway, &request).await
+    })?;
+    output::show(args.json, &reply, |r| {
+        format!("generation {} accepted", r.generation)
+    });
+    Ok(())
+}
+
+fn raise(config: &mut Config, name: &str, shape: Shape, count: u32) -> Result<(), Fault> {
+    let account = config.accounts.iter_mut().find(|a| a.name == name);
+    let unknown = || Fault::new(Code::UnknownName, format!("no account is named {name:?}"));
+    let account = account.ok_or_else(unknown)?;
+    let held = account.shapes().get(&shape).copied().unwrap_or(0);
+    if count < held {
+        let detail = format!("account {name:?} holds {held} x {shape:?}");
+        return Err(Fault::new(Code::QuotaShrinks, detail));
+    }
+    account.quota.retain(|q| q.shape != shape);
+    account.quota.push(ShapeCount { shape, count });
+    Ok(())
+}
+
+/// Parses the name of a shape.
+pub fn parse_shape(text: &str) -> Result<Shape, Fault> {
+    serde_json::from_value(text.into()).map_err(|_| {
+        let detail = format!("{text:?} is not accelerator, pair, quad or worker");
+        Fault::new(Code::BadRequest, detail)
+    })
+}
--- /dev/null
+++ b/src/cmd/sidecar.rs
@@ -0,0 +1,19 @@
+//! `hibiscusbarrow sidecar`.
+
+use super::client;
+use super::gateway::load;
+use super::gateway::stop_flag;
+use crate::cli;
+use anyhow::Context;
+use anyhow::Result;
+use hibiscusbarrow_adapters::log;
+
+/// Runs a sidecar until it is asked to stop.
+pub fn execute(args: cli::Sidecar) -> Result<()> {
+    let settings = load(&args.settings)?;
+    let logger = log::logger(settings.log);
+    client::block_on(async {
+        let run = hibiscusbarrow_roles::sidecar::run(settings, logger, stop_flag());
+        run.await.context("running the sidecar")
+    })
+}
--- /dev/null
+++ b/src/cmd/standin.rs
@@ -0,0 +1,84 @@
+//! `hibiscusbarrow standin`.
+
+use super::client;
+use super::gateway::stop_flag;
+use crate::cli;
+use anyhow::Context;
+use anyhow::Result;
+use compio::net::TcpListener;
+use hibiscusbarrow_coordination::clock::Clock;
+use hibiscusbarrow_model::state::Announcement;
+use hibiscusbarrow_standin::store;
+use hibiscusbarrow_standin::upstream;
+use hibiscusbarrow_standin::worker;
+use std::net::SocketAddr;
+
+/// The accelerators of a worker unless stated.
+const ACCELERATORS: u16 = 8;
+/// The slots of an upstream unless stated.
+const SLOTS: u16 = 8;
+/// The connections of an upstream unless stated.
+const CONNECTIONS: u16 = 64;
+
+/// Runs a stand-in until it is asked to stop.
+pub fn execute(args: cli::Standin) -> Result<()> {
+    client::block_on(async {
+        match args.subcommand {
+            cli::StandinCmd::Store(args) => run_store(args).await,
+            cli::StandinCmd::Worker(args) => run_workers(args).await,
+            cli::StandinCmd::Upstream(args) => run_upstream(args).await,
+        }
+    })
+}
+
+async fn listen(addr: SocketAddr) -> Result<TcpListener> {
+    TcpListener::bind(addr)
+        .await
+        .with_context(|| format!("listening on {addr}"))
+}
+
+async fn run_store(args: cli::Store) -> Result<()> {
+    let listener = listen(args.listen).await?;
+    store::serve(listener, Clock::system(), stop_flag()).await;
+    Ok(())
+}
+
+async fn run_workers(args: cli::Worker) -> Result<()> {
+    let stop = stop_flag();
+    let copies = args.copies.unwrap_or(1);
+    let mut serving = Vec::new();
+    for copy in 0..copies {
+        let mut addr = args.listen;
+        addr.set_port(addr.port() + copy);
+        let name = if copies == 1 {
+            args.name.clone()
+        } else {
+            format!("{}-{copy}", args.name)
+        };
+        let settings = worker::WorkerSettings {
+            name: name.into(),
+            rack: args.rack.as_str().into(),
+            domain: args.domain.as_str().into(),
+            accelerators: args.accelerators.unwrap_or(ACCELERATORS),
+        };
+        let listener = listen(addr).await?;
+        let serve = worker::serve(listener, settings, Clock::system(), stop.clone());
+        serving.push(compio::runtime::spawn(serve));
+    }
+    for task in serving {
+        let _ = task.await;
+    }
+    Ok(())
+}
+
+async fn run_upstream(args: cli::Upstream) -> Result<()> {
+    let listener = listen(args.listen).await?;
+    let announcement = Announcement {
+        service: args.service.into(),
+        addr: args.listen,
+        slots: args.slots.unwrap_or(SLOTS),
+        connections: args.connections.unwrap_or(CONNECTIONS),
+    };
+    upstream::serve(listener, announcement, args.sidecar, stop_flag()).await;
+    Ok(())
+}
--- /dev/null
+++ b/src/cmd/status.rs
@@ -0,0 +1,52 @@
+//! `hibiscusbarrow status`.
+
+use super::client;
+use super::get::job_table;
+use crate::cli;
+use crate::output;
+use anyhow::Result;
+use hibiscusbarrow_model::state::Status;
+
+/// Shows members, generations and placement.
+pub fn execute(args: cli::Status) -> Result<()> {
+    let status: Status = client::block_on(client::get(args.gateway, "/v1/status"))?;
+    output::show(args.json, &status, text);
+    Ok(())
+}
+
+fn text(status: &Status) -> String {
+    let mut rows = vec![
+        ["MEMBER", "ROLE", "STATE", "GENERATION", "SERVICE"]
+            .map(String::from)
+            .to_vec(),
+    ];
+    for member in &status.members {
+        rows.push(vec![
+            member.name.to_string(),
+            member.role.to_string(),
+            member.state.to_string(),
+            member.generation.to_string(),
+            member.service.to_string(),
+        ]);
+    }
+    let mut lines = vec![output::table(&rows)];
+    match &status.placer {
+        None => lines.push("no placer of the region answers".to_owned()),
+        Some(placer) => {
+            lines.push(format!(
+                "placer epoch {}: {} workers, {} of {} accelerators in use",
+                placer.epoch, placer.workers, placer.used, placer.accelerators
+            ));
+            for entry in &placer.shortfall {
+                lines.push(format!(
+                    "guarantees lack {} x {:?}: hardware is out of service",
+                    entry.count, entry.shape
+                ));
+            }
+            if !placer.jobs.is_empty() {
+                lines.push(job_table(&placer.jobs));
+            }
+        }
+    }
+    lines.join("\n")
+}
--- /dev/null
+++ b/src/cmd/timeline.rs
@@ -0,0 +1,156 @@
+//! `hibiscusbarrow timeline`.
+
+use super::client;
+use crate::cli;
+use crate::output;
+use anyhow::Context;
+use anyhow::Result;
+use hibiscusbarrow_model::event::Event;
+use hibiscusbarrow_model::event::Record;
+use hibiscusbarrow_model::state::Status;
+use plotters::prelude::*;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// The width of a picture, in pixels.
+const WIDTH: u32 = 1200;
+/// The height of one process in a picture, in pixels.
+const ROW: u32 = 26;
+/// The height of title and axis together, in pixels.
+const FRAME: u32 = 110;
+
+/// Merges events, filters them and prints or draws them.
+pub fn execute(args: cli::Timeline) -> Result<()> {
+    let mut records = match args.gateway {
+        Some(gateway) => client::block_on(collect(gateway))?,
+        None => Vec::new(),
+    };
+    for path in &args.log {
+        records.extend(read_log(path)?);
+    }
+    merge(&mut records);
+    let wanted = |r: &Record| {
+        let subject = args.subject.as_ref().is_none_or(|s| r.subject == *s);
+        subject && args.account.as_ref().is_none_or(|a| r.account == *a)
+    };
+    records.retain(wanted);
+    if let Some(path) = &args.svg {
+        draw(&records, path)?;
+    }
+    output::show(args.json, &records, |r| text(r));
+    Ok(())
+}
+
+/// Collects the events of every process that a gateway knows.
+pub async fn collect(gateway: SocketAddr) -> Result<Vec<Record>> {
+    let status: Status = client::get(gateway, "/v1/status").await?;
+    let mut records = Vec::new();
+    for member in &status.members {
+        match client::get::<Vec<Record>>(member.http, "/v1/events").await {
+            Ok(found) => records.extend(found),
+            Err(e) => eprintln!("warning: {} did not answer: {e:#}", member.name),
+        }
+    }
+    Ok(records)
+}
+
+/// Puts events into one order: by time, then by process and position.
+///
+/// Events of one process keep their order whatever its clock does.
+pub fn merge(records: &mut [Record]) {
+    records.sort_by(|a, b| (&a.process, a.seq).cmp(&(&b.process, b.seq)));
+    let mut latest = 0;
+    let mut process = smol_str::SmolStr::default();
+    for record in records.iter_mut() {
+        if record.process != process {
+            process = record.process.clone();
+            latest = 0;
+        }
+        latest = latest.max(record.at);
+        record.at = latest;
+    }
+    records.sort_by(|a, b| (a.at, &a.process, a.seq).cmp(&(b.at, &b.process, b.seq)));
+}
+
+/// Reads events from a log of JSON lines.
+fn read_log(path: &Path) -> Result<Vec<Record>> {
+    let text = client::read(path)?;
+    let mut records = Vec::new();
+    for (number, line) in text.lines().enumerate() {
+        let Ok(value) = serde_json::from_str::<serde_json::Value>(line) else {
+            continue;
+        };
+        let Some(record) = record_of(&value, number as u64) else {
+            continue;
+        };
+        records.push(record);
+    }
+    Ok(records)
+}
+
+fn record_of(line: &serde_json::Value, seq: u64) -> Option<Record> {
+    let text = |name: &str| line.get(name).and_then(|v| v.as_str()).unwrap_or("").into();
+    let event = line.get("event")?.as_u64()?;
+    Some(Record {
+        at: line.get("at")?.as_u64()?,
+        seq,
+        process: text("process"),
+        event: Event::try_from(u16::try_from(event).ok()?).ok()?,
+        subject: text("subject"),
+        account: text("account"),
+        detail: text("detail"),
+    })
+}
+
+fn text(records: &[Record]) -> String {
+    let origin = records.first().map_or(0, |r| r.at);
+    let line = |r: &Record| {
+        let rest = [&r.subject, &r.account, &r.detail].map(|s| s.as_str());
+        let rest: Vec<&str> = rest.into_iter().filter(|s| !s.is_empty()).collect();
+        let since = (r.at - origin) as f64 / 1000.0;
+        let (event, meaning) = (r.event, r.event.meaning());
+        format!(
+            "{since:>9.3} {:<14} {event} {meaning} [{}]",
+            r.process,
+            rest.join(" | ")
+        )
+    };
+    records.iter().map(line).collect::<Vec<_>>().join("\n")
+}
+
+/// Draws one row for each process and one mark for each event.
+pub fn draw(records: &[Record], path: &Path) -> Result<()> {
+    let mut processes: Vec<_> = records.iter().map(|r| r.process.clone()).collect();
+    processes.sort();
+    processes.dedup();
+    let origin = records.first().map_or(0, |r| r.at);
+    let end = records.last().map_or(1, |r| r.at - origin).max(1) as f64 / 1000.0;
+    let rows = processes.len().max(1);
+    let size = (WIDTH, FRAME + ROW * rows as u32);
+    let area = SVGBackend::new(path, size).into_drawing_area();
+    area.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&area)
+        .caption("events by process", ("sans-serif", 18))
+        .margin(10)
+        .x_label_area_size(40)
+        .y_label_area_size(110)
+        .build_cartesian_2d(0.0..end * 1.02, 0.0..rows as f64)?;
+    chart
+        .configure_mesh()
+        .x_desc("seconds")
+        .y_labels(rows + 1)
+        .y_label_formatter(&|y| {
+            let name = processes.get(*y as usize).filter(|_| y.fract() == 0.0);
+            name.map(ToString::to_string).unwrap_or_default()
+        })
+        .draw()?;
+    chart.draw_series(records.iter().map(|r| {
+        let row = processes.iter().position(|p| *p == r.process).unwrap_or(0);
+        let at = (r.at - origin) as f64 / 1000.0;
+        let family = usize::from(r.event.number() / 100 % 10);
+        Circle::new((at, row as f64 + 0.5), 3, Palette99::pick(family).filled())
+    }))?;
+    area.present()
+        .with_context(|| format!("writing {}", path.display()))?;
+    Ok(())
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,15 @@
+//! The `hibiscusbarrow` binary: every role, the operators' commands and the stand-ins.
+
+mod cli;
+mod cmd;
+mod output;
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let flags = cli::Hibiscusbarrow::from_env_or_exit();
+    match cmd::execute(flags) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => output::fail(&error),
+    }
+}
--- /dev/null
+++ b/src/output.rs
@@ -0,0 +1,62 @@
+//! What commands print, and their exit codes.
+
+use hibiscusbarrow_model::code::Code;
+use hibiscusbarrow_model::code::Fault;
+use serde::Serialize;
+use std::process::ExitCode;
+
+/// An unexpected condition.
+const INTERNAL: u8 = 1;
+/// The input is at fault.
+const BAD_INPUT: u8 = 3;
+/// The system refused and changed nothing.
+const REFUSED: u8 = 4;
+/// The system or a part of it is not reachable.
+const UNAVAILABLE: u8 = 5;
+/// The outcome is not known.
+const UNKNOWN: u8 = 6;
+
+/// Prints an error and returns its exit code.
+pub fn fail(error: &anyhow::Error) -> ExitCode {
+    eprintln!("error: {error:#}");
+    let code = error
+        .downcast_ref::<Fault>()
+        .map_or(INTERNAL, |f| exit_code(f.code));
+    ExitCode::from(code)
+}
+
+fn exit_code(code: Code) -> u8 {
+    match code {
+        Code::OutcomeUnknown | Code::AcceptUnknown | Code::Truncated | Code::WrongAnswer => UNKNOWN,
+        Code::StoreDown | Code::PeerDown | Code::NotPlacer | Code::NotReady => UNAVAILABLE,
+        Code::Internal => INTERNAL,
+        Code::BadRequest => BAD_INPUT,
+        other if other.number() < 200 => BAD_INPUT,
+        _ => REFUSED,
+    }
+}
+
+/// Prints a value as JSON, or as lines of text.
+pub fn show<T: Serialize>(json: bool, value: &T, text: impl Fn(&T) -> String) {
+    if json {
+        let rendered = serde_json::to_string_pretty(value);
+        println!("{}", rendered.expect("the value serialises to JSON"));
+    } else {
+        println!("{}", text(value).trim_end());
+    }
+}
+
+/// Lays rows out in columns.
+pub fn table(rows: &[Vec<String>]) -> String {
+    let columns = rows.iter().map(Vec::len).max().unwrap_or(0);
+    let width = |c: usize| rows.iter().filter_map(|r| r.get(c)).map(String::len).max();
+    let widths: Vec<usize> = (0..columns).map(|c| width(c).unwrap_or(0)).collect();
+    let line = |row: &Vec<String>| {
+        let cells = row
+            .iter()
+            .zip(&widths)
+            .map(|(cell, w)| format!("{cell:<w$}"));
+        cells.collect::<Vec<_>>().join("  ").trim_end().to_owned()
+    };
+    rows.iter().map(line).collect::<Vec<_>>().join("\n")
+}
