Prove placement against a naive search

Cause: the decisions had no tests. Found by the tests: a worker's failures were counted by job keys, which are reused and were forgotten when a failed job ended, so a worker that fails everything was never quarantined. Failures now count by a serial number.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -25,5 +25,6 @@
 pub mod gang;
 pub mod generation;
 pub mod key_gate;
+pub mod keyed;
 pub mod lease;
 pub mod membership;
--- a/crates/placement/src/quota.rs
+++ b/crates/placement/src/quota.rs
@@ -162,6 +162,12 @@
         self.accounts.is_empty()
     }
 
+    /// Returns the shapes of one account that are not bound.
+    pub fn unbound_of(&self, account: &str) -> Counts {
+        let index = self.index(account);
+        index.map_or(Counts::default(), |i| self.accounts[i].unbound)
+    }
+
     /// Returns the shapes of all accounts that are not bound.
     pub fn needs(&self) -> &Counts {
         &self.needs
--- a/crates/placement/src/scheduler/health.rs
+++ b/crates/placement/src/scheduler/health.rs
@@ -1,6 +1,5 @@
 //! Recognises workers that fail everything they start.
 
-use crate::grid::JobKey;
 use crate::grid::WorkerKey;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -14,7 +13,7 @@
 
 #[derive(Clone, Debug, Default)]
 struct Record {
-    failed: Vec<JobKey>,
+    failed: Vec<u64>,
     until: Duration,
     rounds: u32,
 }
@@ -26,8 +25,8 @@
 }
 
 impl Health {
-    /// Records that a task of a job failed on a worker.
-    pub fn failed(&mut self, worker: WorkerKey, job: JobKey, now: Duration) {
+    /// Records that a task of the job with this serial number failed on a worker.
+    pub fn failed(&mut self, worker: WorkerKey, job: u64, now: Duration) {
         let record = self.records.entry(worker).or_default();
         if !record.failed.contains(&job) {
             record.failed.push(job);
@@ -55,11 +54,4 @@
         let entries = self.records.iter().filter(|(_, r)| ended(r));
         entries.map(|(worker, _)| *worker).collect()
     }
-
-    /// Forgets a job whose key may be used again.
-    pub fn forget(&mut self, job: JobKey) {
-        for record in self.records.values_mut() {
-            record.failed.retain(|j| *j != job);
-        }
-    }
 }
--- a/crates/placement/src/scheduler/mod.rs
+++ b/crates/placement/src/scheduler/mod.rs
@@ -128,6 +128,8 @@
     /// Whether it goes back to the queue once its cells are free.
     requeue: bool,
     index: usize,
+    /// Counts submissions, so that it tells jobs apart whose keys are used again.
+    serial: u64,
 }
 
 impl Job {
@@ -152,6 +154,7 @@
             failures: BTreeSet::new(),
             requeue: false,
             index: 0,
+            serial: 0,
         }
     }
 
@@ -205,6 +208,7 @@
     estimator: Estimator,
     health: Health,
     reservation: Option<Reservation>,
+    submitted: u64,
 }
 
 impl Scheduler {
@@ -224,6 +228,7 @@
             estimator: Estimator::default(),
             health: Health::default(),
             reservation: None,
+            submitted: 0,
         }
     }
 
@@ -321,6 +326,8 @@
             .index(&job.account)
             .expect("the account is known");
         job.submitted = now;
+        job.serial = self.submitted;
+        self.submitted += 1;
         let key = self.free.pop().unwrap_or_else(|| {
             self.jobs.push(None);
             JobKey(self.jobs.len() as u32 - 1)
@@ -385,9 +392,9 @@
     /// failed on too many workers.
     pub fn failed(&mut self, key: JobKey, worker: WorkerKey, now: Duration) {
         let Some(job) = self.job(key) else { return };
-        let cells = job.cells.clone();
+        let (cells, serial) = (job.cells.clone(), job.serial);
         self.job_mut(key).failures.insert(worker);
-        self.health.failed(worker, key, now);
+        self.health.failed(worker, serial, now);
         self.apply_health(&cells, now);
         self.stop(key, "member failed", true);
     }
@@ -509,7 +516,6 @@
     fn forget(&mut self, key: JobKey) {
         if let Some(job) = self.jobs[key.0 as usize].take() {
             self.names.remove(&job.name);
-            self.health.forget(key);
             self.free.push(key);
         }
     }
--- /dev/null
+++ b/crates/placement/tests/suite/main.rs
@@ -0,0 +1,8 @@
+//! Tests of placement decisions, by feature.
+
+mod fixtures;
+mod packing;
+mod quarantine;
+mod queueing;
+mod reclaim;
+mod renewal;
--- /dev/null
+++ b/crates/placement/tests/suite/queueing.rs
@@ -0,0 +1,148 @@
+//! Fairness, starvation, jobs that can never run.
+
+use crate::fixtures::*;
+use hibiscusbarrow_placement::*;
+use std::time::Duration;
+
+fn eager_policy() -> Policy {
+    Policy {
+        reserve_after: Some(Duration::from_secs(60)),
+        move_after: None,
+        ..Policy::default()
+    }
+}
+
+/// Keeps a worker busy with a stream of singles while a large gang waits.
+///
+/// Returns the time at which the gang started.
+fn starve(policy: Policy, limit: u64) -> Option<u64> {
+    let mut scheduler = scheduler(&[8, 8], vec![account("a", &[]), account("b", &[])], policy);
+    let mut running = Vec::new();
+    for second in 0..limit {
+        let now = at(second);
+        let name = format!("small-{second}");
+        scheduler.submit(Job::new(name.clone(), "a", Shape::Accelerator, 1), now);
+        if second == 10 {
+            scheduler.submit(Job::new("large", "b", Shape::Worker, 2), now);
+        }
+        running.extend(settle(&mut scheduler, now).into_iter().map(|name| (name, second)));
+        if running.iter().any(|(name, _)| name == "large") {
+            return Some(second);
+        }
+        let (ended, rest): (Vec<_>, Vec<_>) = running.into_iter().partition(|r| second >= r.1 + 15);
+        running = rest;
+        for (name, _) in ended {
+            let key = scheduler.key(&name).expect("it runs");
+            scheduler.finished(key, now);
+        }
+    }
+    None
+}
+
+#[test]
+fn large_gang_is_not_starved_by_singles() {
+    let without = starve(plain_policy(), 600);
+    let with = starve(eager_policy(), 600);
+
+    assert_eq!(without, None, "the stream does not starve the gang, so the test shows nothing");
+    assert!(with.is_some(), "the reservation did not help");
+}
+
+#[test]
+fn moving_small_borrowers_frees_a_worker() {
+    let policy = Policy {
+        reserve_after: Some(at(10)),
+        move_after: Some(at(20)),
+        ..Policy::default()
+    };
+    let mut scheduler = scheduler(&[8, 8], vec![account("a", &[]), account("b", &[])], policy);
+    for i in 0..8 {
+        scheduler.submit(Job::new(format!("s{i}"), "a", Shape::Accelerator, 1), at(0));
+    }
+    settle(&mut scheduler, at(0));
+    scheduler.submit(Job::new("pin", "a", Shape::Accelerator, 1), at(1));
+    settle(&mut scheduler, at(1));
+    for i in 0..6 {
+        let key = scheduler.key(&format!("s{i}")).expect("it runs");
+        scheduler.finished(key, at(2));
+    }
+    settle(&mut scheduler, at(2));
+
+    scheduler.submit(Job::new("large", "b", Shape::Worker, 1), at(3));
+    let early = settle(&mut scheduler, at(4));
+    let late = settle(&mut scheduler, at(30));
+
+    assert_eq!(early, Vec::<String>::new());
+    assert!(late.contains(&"large".to_owned()), "{late:?}");
+}
+
+#[test]
+fn idle_capacity_goes_to_the_account_that_uses_least() {
+    let accounts = vec![account("a", &[]), account("b", &[])];
+    let mut scheduler = scheduler(&[8], accounts, plain_policy());
+    for i in 0..16 {
+        scheduler.submit(Job::new(format!("a{i}"), "a", Shape::Accelerator, 1), at(0));
+    }
+    for i in 0..16 {
+        scheduler.submit(Job::new(format!("b{i}"), "b", Shape::Accelerator, 1), at(1));
+    }
+
+    let started = settle(&mut scheduler, at(2));
+
+    let of_b = started.iter().filter(|name| name.starts_with('b')).count();
+    assert_eq!((started.len(), of_b), (8, 4));
+}
+
+#[test]
+fn weights_shift_the_shares() {
+    let mut accounts = vec![account("a", &[]), account("b", &[])];
+    accounts[1].weight = 3;
+    let mut scheduler = scheduler(&[8], accounts, plain_policy());
+    for i in 0..16 {
+        scheduler.submit(Job::new(format!("a{i}"), "a", Shape::Accelerator, 1), at(0));
+        scheduler.submit(Job::new(format!("b{i}"), "b", Shape::Accelerator, 1), at(0));
+    }
+
+    let started = settle(&mut scheduler, at(1));
+
+    let of_b = started.iter().filter(|name| name.starts_with('b')).count();
+    assert_eq!(of_b, 6);
+}
+
+#[test]
+fn job_that_can_never_run_is_parked_with_the_reason() {
+    let mut scheduler = scheduler(&[8, 4], vec![account("a", &[])], plain_policy());
+
+    let key = scheduler.submit(Job::new("huge", "a", Shape::Worker, 2), at(0));
+
+    let state = &scheduler.job(key).expect("it is live").state;
+    let JobState::Parked(reason) = state else { panic!("{state:?}") };
+    assert_eq!(reason, "needs 2 x Worker; the workers in service have 1 Quad, 1 Worker");
+}
+
+#[test]
+fn parked_job_runs_once_the_hardware_comes() {
+    let mut scheduler = scheduler(&[8], vec![account("a", &[])], plain_policy());
+    scheduler.submit(Job::new("huge", "a", Shape::Worker, 2), at(0));
+
+    scheduler.add_worker(WorkerSpec::new("new", "r9", "d9", 8));
+    let started = settle(&mut scheduler, at(1));
+
+    assert_eq!(started, ["huge"]);
+}
+
+#[test]
+fn cancelled_jobs_leave_nothing_behind() {
+    let mut scheduler = scheduler(&[8], vec![account("a", &[(Shape::Quad, 1)])], plain_policy());
+    let keys: Vec<JobKey> = (0..100)
+        .map(|i| scheduler.submit(Job::new(format!("j{i}"), "a", Shape::Quad, 1), at(0)))
+        .collect();
+    settle(&mut scheduler, at(0));
+
+    keys.into_iter().for_each(|key| scheduler.cancel(key));
+    settle(&mut scheduler, at(1));
+
+    assert_eq!(scheduler.jobs().count(), 0);
+    assert_eq!(scheduler.grid().idle(), 8);
+    assert_eq!(scheduler.quotas().needs().get(Shape::Quad), 1);
+}
--- /dev/null
+++ b/crates/placement/tests/suite/reclaim.rs
@@ -0,0 +1,250 @@
+//! Guarantees under random histories, against a naive model.
+
+use crate::fixtures::*;
+use hibiscusbarrow_placement::*;
+use proptest::prelude::*;
+use std::collections::BTreeMap;
+
+/// One step of a history.
+#[derive(Clone, Debug)]
+enum Step {
+    Submit { account: usize, shape: Shape, count: u32 },
+    Finish(usize),
+    Cancel(usize),
+    Fail(usize),
+    Heal(usize),
+    Renew { account: usize, shape: Shape },
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0..3usize, any_shape(), 1..4u32)
+            .prop_map(|(account, shape, count)| Step::Submit { account, shape, count }),
+        4 => (0..40usize).prop_map(Step::Finish),
+        1 => (0..40usize).prop_map(Step::Cancel),
+        1 => (0..4usize).prop_map(Step::Fail),
+        2 => (0..4usize).prop_map(Step::Heal),
+        1 => (0..2usize, any_shape()).prop_map(|(account, shape)| Step::Renew { account, shape }),
+    ]
+}
+
+/// Drives a scheduler and a naive copy of the quotas.
+struct History {
+    scheduler: Scheduler,
+    accounts: Vec<AccountSpec>,
+    submitted: usize,
+    now: u64,
+}
+
+impl History {
+    fn new() -> Self {
+        let accounts = vec![
+            account("a", &[(Shape::Worker, 1), (Shape::Pair, 1)]),
+            account("b", &[(Shape::Quad, 2)]),
+            account("c", &[]),
+        ];
+        Self {
+            scheduler: scheduler(&[8, 8, 8, 4], accounts.clone(), plain_policy()),
+            accounts,
+            submitted: 0,
+            now: 0,
+        }
+    }
+
+    fn step(&mut self, step: &Step) {
+        self.now += 10;
+        let now = at(self.now);
+        match step {
+            Step::Submit { account, shape, count } => {
+                self.submitted += 1;
+                let name = format!("j{}", self.submitted);
+                let account = self.accounts[*account].name.clone();
+                self.scheduler.submit(Job::new(name, account, *shape, *count), now);
+            }
+            Step::Finish(n) => {
+                if let Some(key) = self.pick(*n, |j| j.state == JobState::Placed) {
+                    self.scheduler.finished(key, now);
+                }
+            }
+            Step::Cancel(n) => {
+                if let Some(key) = self.pick(*n, |_| true) {
+                    self.scheduler.cancel(key);
+                }
+            }
+            Step::Fail(w) => {
+                let key = WorkerKey(*w as u32);
+                if self.scheduler.grid().is_up(key) {
+                    self.scheduler.fail_worker(key);
+                }
+            }
+            Step::Heal(w) => {
+                let spec = self.scheduler.grid().spec(WorkerKey(*w as u32)).clone();
+                self.scheduler.add_worker(spec);
+            }
+            Step::Renew { account, shape } => self.renew(*account, *shape),
+        }
+        settle(&mut self.scheduler, now);
+    }
+
+    fn renew(&mut self, account: usize, shape: Shape) {
+        let mut accounts = self.accounts.clone();
+        accounts[account].quota.push(ShapeCount { shape, count: 1 });
+        if self.scheduler.set_accounts(accounts.clone()).is_ok() {
+            self.accounts = accounts;
+        }
+    }
+
+    fn pick(&self, n: usize, wanted: impl Fn(&Job) -> bool) -> Option<JobKey> {
+        let live: Vec<JobKey> = self
+            .scheduler
+            .jobs()
+            .filter(|(_, job)| wanted(job))
+            .map(|(key, _)| key)
+            .collect();
+        (!live.is_empty()).then(|| live[n % live.len()])
+    }
+
+    /// Tells by search whether every unbound guaranteed shape fits outside the bindings.
+    fn is_safe_by_search(&self) -> bool {
+        let grid = self.scheduler.grid();
+        let free: Vec<u8> = grid.workers().map(|w| grid.unbound_mask(w)).collect();
+        fits_by_search(&free, &spread(self.scheduler.quotas().needs()))
+    }
+
+    /// Checks that each accelerator has at most one user and each gang all its cells.
+    fn check_gangs(&self) -> Result<(), TestCaseError> {
+        let mut taken = BTreeMap::new();
+        for (key, job) in self.scheduler.jobs() {
+            if !matches!(job.state, JobState::Placed | JobState::Claimed) {
+                prop_assert!(job.cells.is_empty(), "{} waits with cells", job.name);
+                continue;
+            }
+            prop_assert_eq!(job.cells.len() as u32, job.count, "{} is partial", job.name);
+            for cell in &job.cells {
+                let users = self.scheduler.grid().users(*cell);
+                prop_assert_eq!(users, vec![key], "{} does not hold its cell", job.name);
+                let used = taken.entry(cell.worker).or_insert(0u8);
+                prop_assert_eq!(*used & cell.mask, 0, "accelerators are given out twice");
+                *used |= cell.mask;
+            }
+        }
+        Ok(())
+    }
+}
+
+proptest! {
+    #![proptest_config(fixed(1000))]
+
+    #[test]
+    fn gangs_are_whole_and_verdicts_agree_with_search(
+        steps in prop::collection::vec(any_step(), 1..40),
+    ) {
+        let mut history = History::new();
+        for step in &steps {
+            history.step(step);
+
+            let grid = history.scheduler.grid();
+            let safe = history.scheduler.quotas().is_safe(grid);
+            prop_assert_eq!(safe, history.is_safe_by_search());
+            history.check_gangs()?;
+        }
+    }
+
+    #[test]
+    fn state_stays_safe_while_hardware_is_whole(
+        steps in prop::collection::vec(any_step(), 1..40),
+    ) {
+        let mut history = History::new();
+        for step in steps.iter().filter(|s| !matches!(s, Step::Fail(_))) {
+            history.step(step);
+
+            let grid = history.scheduler.grid();
+            prop_assert!(history.scheduler.quotas().is_safe(grid));
+        }
+    }
+
+    #[test]
+    fn adopted_gangs_leave_every_guarantee_within_reach(
+        steps in prop::collection::vec(any_step(), 1..40),
+    ) {
+        let mut history = History::new();
+        for step in steps.iter().filter(|s| !matches!(s, Step::Fail(_))) {
+            history.step(step);
+        }
+        let mut heir = scheduler(&[8, 8, 8, 4], vec![], plain_policy());
+        heir.restore_accounts(history.accounts.clone()).expect("nothing shrinks");
+
+        for (_, job) in history.scheduler.jobs().filter(|(_, j)| j.state == JobState::Placed) {
+            let copy = Job::new(job.name.clone(), job.account.clone(), job.shape, job.count);
+            heir.adopt(copy, job.cells.clone(), at(history.now));
+        }
+
+        prop_assert!(heir.quotas().is_safe(heir.grid()));
+        history.scheduler = heir;
+        history.check_gangs()?;
+    }
+
+    #[test]
+    fn every_unclaimed_guarantee_can_be_had_at_once(
+        steps in prop::collection::vec(any_step(), 1..30),
+    ) {
+        let mut history = History::new();
+        for step in &steps {
+            history.step(step);
+        }
+        (0..4).for_each(|w| history.step(&Step::Heal(w)));
+        let grid = history.scheduler.grid();
+        prop_assume!(history.scheduler.quotas().is_safe(grid));
+        let now = at(history.now);
+        let mut claims = Vec::new();
+        for name in ["a", "b"] {
+            for shape in spread(&history.scheduler.quotas().unbound_of(name)) {
+                let id = format!("claim-{name}-{}", claims.len());
+                history.scheduler.submit(Job::new(id.clone(), name, shape, 1).urgent(true), now);
+                claims.push(id);
+            }
+        }
+
+        settle(&mut history.scheduler, now);
+
+        for id in claims {
+            let key = history.scheduler.key(&id).expect("the claim is live");
+            let placed = history.scheduler.job(key).expect("the claim is live");
+            prop_assert!(placed.guaranteed, "{id} did not get its guarantee");
+            prop_assert_eq!(&placed.state, &JobState::Placed);
+        }
+    }
+}
+
+#[test]
+fn claim_preempts_borrowers_and_starts_when_they_are_gone() {
+    let accounts = vec![account("a", &[(Shape::Worker, 1)]), account("b", &[])];
+    let mut scheduler = scheduler(&[8], accounts, plain_policy());
+    let borrower = scheduler.submit(Job::new("loan", "b", Shape::Pair, 4), at(0));
+    settle(&mut scheduler, at(0));
+
+    scheduler.submit(Job::new("claim", "a", Shape::Worker, 1), at(1));
+    let first = scheduler.pass(at(1));
+    scheduler.released(borrower);
+    let second = scheduler.pass(at(2));
+
+    let stop = Decision::Stop {
+        job: borrower,
+        reason: "a guarantee was claimed",
+    };
+    assert_eq!(first, vec![stop]);
+    assert!(matches!(second[0], Decision::Start { guaranteed: true, .. }));
+}
+
+#[test]
+fn guaranteed_gang_is_never_preempted_by_another_guarantee() {
+    let accounts = vec![account("a", &[(Shape::Quad, 2)]), account("b", &[(Shape::Quad, 2)])];
+    let mut scheduler = scheduler(&[8, 8], accounts, plain_policy());
+    scheduler.submit(Job::new("a1", "a", Shape::Quad, 2), at(0));
+    settle(&mut scheduler, at(0));
+
+    scheduler.submit(Job::new("b1", "b", Shape::Quad, 2), at(1));
+    let decisions = scheduler.pass(at(1));
+
+    assert!(matches!(decisions[..], [Decision::Start { guaranteed: true, .. }]));
+}
--- /dev/null
+++ b/crates/placement/tests/suite/renewal.rs
@@ -0,0 +1,75 @@
+//! Renewals only grow, and only as far as the hardware packs them.
+
+use crate::fixtures::*;
+use hibiscusbarrow_placement::*;
+
+#[test]
+fn renewal_that_shrinks_one_shape_is_refused_whole() {
+    let held = account("a", &[(Shape::Quad, 2)]);
+    let mut scheduler = scheduler(&[8, 8], vec![held], plain_policy());
+    let offered = account("a", &[(Shape::Quad, 1), (Shape::Worker, 1)]);
+
+    let result = scheduler.set_accounts(vec![offered]);
+
+    assert!(matches!(result, Err(QuotaError::Shrinks { held: 2, offered: 1, .. })));
+    assert_eq!(scheduler.quotas().needs().get(Shape::Quad), 2);
+}
+
+#[test]
+fn account_that_vanishes_from_the_file_keeps_its_guarantee() {
+    let held = vec![account("a", &[(Shape::Pair, 1)]), account("b", &[])];
+    let mut scheduler = scheduler(&[8], held, plain_policy());
+
+    let result = scheduler.set_accounts(vec![account("b", &[])]);
+
+    assert!(matches!(result, Err(QuotaError::Shrinks { offered: 0, .. })));
+}
+
+#[test]
+fn promise_beyond_the_hardware_says_what_is_missing() {
+    let mut scheduler = scheduler(&[8, 4], vec![], plain_policy());
+
+    let result = scheduler.set_accounts(vec![account("a", &[(Shape::Worker, 2)])]);
+
+    let missing = ShapeCount {
+        shape: Shape::Worker,
+        count: 1,
+    };
+    assert_eq!(result, Err(QuotaError::Unfit(vec![missing])));
+}
+
+#[test]
+fn promise_that_present_claims_prevent_is_told_apart() {
+    let accounts = vec![account("a", &[(Shape::Quad, 3)]), account("b", &[])];
+    let mut scheduler = scheduler(&[8, 8], accounts, plain_policy());
+    for i in 0..3 {
+        scheduler.submit(Job::new(format!("q{i}"), "a", Shape::Quad, 1), at(0));
+    }
+    settle(&mut scheduler, at(0));
+    let on_first_worker = |job: &Job| job.cells[0].worker == WorkerKey(0);
+    let (key, _) = scheduler.jobs().find(|(_, j)| on_first_worker(j)).expect("one is there");
+    scheduler.finished(key, at(1));
+    settle(&mut scheduler, at(1));
+
+    let offered = account("a", &[(Shape::Quad, 2), (Shape::Worker, 1)]);
+    let grown = account("a", &[(Shape::Quad, 3), (Shape::Worker, 1)]);
+
+    assert!(matches!(scheduler.set_accounts(vec![offered]), Err(QuotaError::Shrinks { .. })));
+    assert!(matches!(scheduler.set_accounts(vec![grown]), Err(QuotaError::Unfit(_))));
+}
+
+#[test]
+fn lost_worker_shows_as_a_shortfall_and_heals() {
+    let held = account("a", &[(Shape::Worker, 2)]);
+    let mut scheduler = scheduler(&[8, 8], vec![held], plain_policy());
+    let lost = WorkerKey(1);
+
+    scheduler.fail_worker(lost);
+    let missing = scheduler.quotas().shortfall(scheduler.grid()).get(Shape::Worker);
+    let spec = scheduler.grid().spec(lost).clone();
+    scheduler.add_worker(spec);
+    let healed = scheduler.quotas().shortfall(scheduler.grid());
+
+    assert_eq!(missing, 1);
+    assert_eq!(healed, Counts::default());
+}
--- a/crates/roles/src/gateway/claim.rs
+++ b/crates/roles/src/gateway/claim.rs
@@ -6,12 +6,15 @@
 use super::route::to_reply;
 use crate::node::Node;
 use hibiscusbarrow_adapters::http::Reply;
-use hibiscusbarrow_adapters::rpc::ForwardReply;
 use hibiscusbarrow_adapters::store::Compare;
 use hibiscusbarrow_adapters::store::KeyValue;
 use hibiscusbarrow_adapters::store::RequestOp;
 use hibiscusbarrow_adapters::store::StoreError;
 use hibiscusbarrow_adapters::store::TxnRequest;
+use hibiscusbarrow_coordination::keyed::Claimed;
+use hibiscusbarrow_coordination::keyed::KeyedRequest;
+use hibiscusbarrow_coordination::keyed::Outcome;
+use hibiscusbarrow_coordination::keyed::Step;
 use hibiscusbarrow_model::code::Code;
 use hibiscusbarrow_model::code::Fault;
 use hibiscusbarrow_model::state::CLAIMS;
@@ -24,8 +27,6 @@
 const CLAIM_LIFE: Duration = Duration::from_secs(3600);
 /// The time for which new claims share one lease.
 const LEASE_SHARED: Duration = Duration::from_secs(600);
-/// The tries to settle who owns a key.
-const MAX_ROUNDS: usize = 8;
 
 /// Writes and reads claims.
 pub(super) struct Claims {
@@ -33,14 +34,6 @@
     lease: Cell<(i64, Duration)>,
 }
 
-/// Tells who owns a key.
-enum Owner {
-    /// This request wrote the claim at a revision and alone may run.
-    Mine(i64),
-    /// Another request wrote the claim at a revision.
-    Other(ClaimRecord, i64),
-}
-
 impl Claims {
     pub fn new(node: Rc<Node>) -> Self {
         Self {
@@ -68,7 +61,7 @@
         key: &str,
         record: &ClaimRecord,
         revision: i64,
-    ) -> Result<Owner, StoreError> {
+    ) -> Result<Claimed<ClaimRecord>, StoreError> {
         let lease = self.lease().await?;
         let request = TxnRequest {
             compare: vec![Compare::unchanged(key, revision)],
@@ -76,7 +69,7 @@
             failure: vec![RequestOp::get(key)],
         };
         let found = match self.node.store.txn(&request).await {
-            Ok(reply) if reply.succeeded => return Ok(Owner::Mine(reply.header.revision)),
+            Ok(reply) if reply.succeeded => return Ok(Claimed::Mine(record.clone(), reply.header.revision)),
             Ok(reply) => reply.found().cloned(),
             Err(StoreError::Unknown(_)) => self.node.store.get(key).await?,
             Err(e) => return Err(e),
@@ -85,58 +78,64 @@
     }
 }
 
-fn owner(found: Option<KeyValue>, record: &ClaimRecord) -> Option<Owner> {
+fn owner(found: Option<KeyValue>, record: &ClaimRecord) -> Option<Claimed<ClaimRecord>> {
     let entry = found?;
     let held: ClaimRecord = entry.json()?;
     if held == *record {
-        return Some(Owner::Mine(entry.mod_revision));
+        return Some(Claimed::Mine(held, entry.mod_revision));
     }
-    Some(Owner::Other(held, entry.mod_revision))
+    Some(Claimed::Other(held, entry.mod_revision))
 }
 
 impl Router {
     /// Runs a request with a key at most once, whichever gateways it reaches.
-    ///
-    /// Says "not run" only while no other request of the key can run.
     pub(super) async fn run_keyed(&self, call: &mut Call) -> Result<Reply, Fault> {
         let key = format!("{CLAIMS}{}/{}", call.request.account, call.request.key);
-        let mut revision = 0;
-        let mut refusal = Fault::new(Code::NoUpstream, Code::NoUpstream.meaning());
-        for _ in 0..MAX_ROUNDS {
-            let Some(record) = self.propose(call) else {
-                return Err(refusal);
-            };
-            match self
-                .claims
-                .write(&key, &record, revision)
-                .await
-                .map_err(claim_fault)?
-            {
-                Owner::Mine(at) => {
-                    refusal = match self.run_claimed(call, &record, at).await {
-                        Err(fault) if fault.code.is_not_run() => fault,
-                        result => return result,
-                    };
-                    if !self.may_retry(call) {
-                        return Err(refusal);
-                    }
-                    self.log_retry(call, &refusal);
-                    revision = at;
+        let mut machine = KeyedRequest::default();
+        let mut last = Fault::new(Code::NoUpstream, Code::NoUpstream.meaning());
+        let mut step = machine.begin();
+        loop {
+            step = match step {
+                Step::Claim { revision } => {
+                    let claimed = self.claim(call, &key, revision).await;
+                    machine.claimed(claimed.map_err(claim_fault)?)
                 }
-                Owner::Other(held, at) => {
-                    if let Some(reply) = self.ask_owner(call, &held, at).await? {
-                        return Ok(reply);
+                Step::Run { owner, claim } => {
+                    let attempt = self.run_claimed(call, &owner, claim).await;
+                    match judge(attempt) {
+                        Ok(reply) => return Ok(reply),
+                        Err((outcome, fault)) => {
+                            last = fault;
+                            let retry = outcome != Outcome::Doubtful && self.may_retry(call);
+                            machine.replied(outcome, retry)
+                        }
                     }
-                    let detail = "the owner of the key never ran it; another may";
-                    refusal = Fault::new(Code::OutcomeUnknown, detail);
-                    revision = at;
                 }
-            }
+                Step::Repeat { owner, claim } => match self.ask_owner(call, &owner, claim).await {
+                    Ok(reply) => return Ok(reply),
+                    Err((outcome, fault)) => {
+                        last = fault;
+                        machine.replied(outcome, true)
+                    }
+                },
+                Step::Answer => unreachable!("answers are returned at once"),
+                Step::NotRun => return Err(last),
+                Step::Unknown if !last.code.is_not_run() => return Err(last),
+                Step::Unknown => return Err(Fault::new(Code::OutcomeUnknown, last.detail)),
+            };
+        }
+    }
+
+    async fn claim(
+        &self,
+        call: &Call,
+        key: &str,
+        revision: i64,
+    ) -> Result<Claimed<ClaimRecord>, StoreError> {
+        match self.propose(call) {
+            Some(record) => self.claims.write(key, &record, revision).await,
+            None => Ok(Claimed::NoOwner),
         }
-        Err(Fault::new(
-            Code::OutcomeUnknown,
-            "the owner of the key keeps changing",
-        ))
     }
 
     /// Proposes an owner for a key.
@@ -153,63 +152,61 @@
     }
 
     /// Sends the one request that may run under a claim.
-    async fn run_claimed(
-        &self,
-        call: &mut Call,
-        record: &ClaimRecord,
-        claim: i64,
-    ) -> Result<Reply, Fault> {
+    async fn run_claimed(&self, call: &mut Call, record: &ClaimRecord, claim: i64) -> Attempt {
         call.request.repeat = false;
         call.request.life = record.incarnation;
         call.request.claim = claim;
         call.tried.push(record.sidecar.clone());
-        match self.attempt(call, &record.sidecar).await {
-            Attempt::Answered(reply) => outcome(reply),
-            Attempt::NotSent(detail) => Err(Fault::new(Code::NotRun, detail)),
-            Attempt::Unanswered(detail) => Err(Fault::new(Code::OutcomeUnknown, detail)),
-        }
+        self.attempt(call, &record.sidecar).await
     }
 
     /// Asks the owner of a key for its outcome.
-    ///
-    /// Returns nothing if the owner never ran the key under this claim and now never will.
-    async fn ask_owner(
-        &self,
-        call: &mut Call,
-        held: &ClaimRecord,
-        claim: i64,
-    ) -> Result<Option<Reply>, Fault> {
+    async fn ask_owner(&self, call: &mut Call, held: &ClaimRecord, claim: i64) -> Judged {
         let unknown = |detail: &str| Fault::new(Code::OutcomeUnknown, detail);
         let members = self.node.members();
         let owner = members.live(&held.sidecar);
         if owner.is_none_or(|m| m.news.info.life != held.incarnation) {
-            return Err(unknown("the sidecar that owned the key is gone"));
+            let fault = unknown("the sidecar that owned the key is gone");
+            return Err((Outcome::Doubtful, fault));
         }
         call.request.repeat = true;
         call.request.life = held.incarnation;
         call.request.claim = claim;
+        let attempt = self.attempt(call, &held.sidecar).await;
         let age = self.node.clock.wall_ms().saturating_sub(held.at);
-        match self.attempt(call, &held.sidecar).await {
-            Attempt::Answered(reply) if reply.code == Code::DeadlinePassed => Err(unknown(
-                "the deadline passed before the owner of the key answered",
-            )),
-            Attempt::Answered(reply) if reply.code.is_not_run() => {
-                if age > CLAIM_LIFE.as_millis() as u64 {
-                    return Err(unknown("the key is too old to be remembered"));
-                }
-                Ok(None)
+        match judge(attempt) {
+            Err((Outcome::Refused, fault)) if fault.code == Code::DeadlinePassed => {
+                let fault = unknown("the deadline passed before the owner of the key answered");
+                Err((Outcome::Doubtful, fault))
             }
-            Attempt::Answered(reply) => outcome(reply).map(Some),
-            Attempt::NotSent(detail) | Attempt::Unanswered(detail) => Err(unknown(&detail)),
+            Err((Outcome::Refused, _)) if age > CLAIM_LIFE.as_millis() as u64 => {
+                let fault = unknown("the key is too old to be remembered");
+                Err((Outcome::Doubtful, fault))
+            }
+            judged => judged,
         }
     }
 }
 
-fn outcome(reply: ForwardReply) -> Result<Reply, Fault> {
-    if reply.code == Code::Done {
-        return Ok(to_reply(reply));
+/// Holds an answer, or how an attempt failed and why.
+type Judged = Result<Reply, (Outcome, Fault)>;
+
+fn judge(attempt: Attempt) -> Judged {
+    match attempt {
+        Attempt::Answered(reply) if reply.code == Code::Done => Ok(to_reply(reply)),
+        Attempt::Answered(reply) if reply.code.is_not_run() => {
+            Err((Outcome::Refused, Fault::new(reply.code, reply.detail)))
+        }
+        Attempt::Answered(reply) => {
+            Err((Outcome::Doubtful, Fault::new(reply.code, reply.detail)))
+        }
+        Attempt::NotSent(detail) => {
+            Err((Outcome::NotSent, Fault::new(Code::NotRun, detail)))
+        }
+        Attempt::Unanswered(detail) => {
+            Err((Outcome::Doubtful, Fault::new(Code::OutcomeUnknown, detail)))
+        }
     }
-    Err(Fault::new(reply.code, reply.detail))
 }
 
 /// Says that this request was not forwarded, though an earlier one of its key may have run.
