Prove the coordination parts over random interleavings

Cause: gangs, keys, membership, leases, generations, admission and drain had no tests. Each now runs under a virtual clock with a fixed seed: messages are lost, late, repeated and reordered; placers, workers and owners pause, die and lose their memory; the store loses answers. Found by the tests and mended: - a refused order to run counted as a stopped member, so a late order of an earlier round freed accelerators while the member ran (gang, at 0.96 s); - a repeated hold that arrived after its hold had lapsed granted it anew with a later anchor; a worker now remembers the highest ended sequence number; - "not run" could be said by the writer of a claim after another request of the same key had taken it over and run; the claim is now withdrawn by compare-and-swap first, and the decisions moved into a pure machine; - 5 of 60 members that start together did not know all others after 20 periods; a newcomer now asks a random member for all others at three fixed ages. Tried and taken back: telling a suspect of its suspicion with each ping.

--- a/crates/coordination/src/gang/ledger.rs
+++ b/crates/coordination/src/gang/ledger.rs
@@ -2,12 +2,11 @@
 
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::time::Duration;
 
-/// The released gangs that a worker remembers, to refuse holds that come late.
-const MAX_RELEASED: usize = 1024;
+/// The gangs whose end a worker remembers, to refuse holds that come late.
+const MAX_ENDED: usize = 1024;
 
 /// Enumerates the states of a gang's member.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -47,14 +46,17 @@
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
     grants: BTreeMap<SmolStr, Grant>,
-    released: BTreeSet<SmolStr>,
+    /// The highest sequence number of each gang whose hold ended here.
+    ended: BTreeMap<SmolStr, u64>,
     order: VecDeque<SmolStr>,
 }
 
 impl Ledger {
     /// Grants or renews a hold of `ttl` from now.
     ///
-    /// Only a higher sequence number renews; a repeated order changes nothing.
+    /// Only a higher sequence number renews; a repeated order changes nothing,
+    /// even after the hold has lapsed, since the placer counts from its first
+    /// reception.
     pub fn hold(
         &mut self,
         gang: &SmolStr,
@@ -64,7 +66,7 @@
         now: Duration,
     ) -> Result<(), Refusal> {
         self.expire(now);
-        if self.released.contains(gang) {
+        if self.ended.get(gang).is_some_and(|ended| seq <= *ended) {
             return Err(Refusal::NoHold);
         }
         if let Some(grant) = self.grants.get_mut(gang) {
@@ -123,13 +125,7 @@
     /// Stops the member and frees its accelerators.
     pub fn release(&mut self, gang: &SmolStr) {
         self.grants.remove(gang);
-        if self.released.insert(gang.clone()) {
-            self.order.push_back(gang.clone());
-        }
-        if self.order.len() > MAX_RELEASED {
-            let oldest = self.order.pop_front().expect("the queue is not empty");
-            self.released.remove(&oldest);
-        }
+        self.end(gang.clone(), u64::MAX);
     }
 
     /// Stops members that were not renewed in time and drops holds that lapsed.
@@ -139,7 +135,22 @@
                 grant.state = HoldState::Stopped;
             }
         }
-        self.grants.retain(|_, grant| now < grant.expires);
+        let lapsed = self.grants.iter().filter(|(_, g)| now >= g.expires);
+        let lapsed: Vec<(SmolStr, u64)> = lapsed.map(|(n, g)| (n.clone(), g.seq)).collect();
+        for (gang, seq) in lapsed {
+            self.grants.remove(&gang);
+            self.end(gang, seq);
+        }
+    }
+
+    fn end(&mut self, gang: SmolStr, seq: u64) {
+        if self.ended.insert(gang.clone(), seq).is_none() {
+            self.order.push_back(gang);
+        }
+        if self.order.len() > MAX_ENDED {
+            let oldest = self.order.pop_front().expect("the queue is not empty");
+            self.ended.remove(&oldest);
+        }
     }
 
     /// Lists every grant; call [`Ledger::expire`] first.
--- a/crates/coordination/src/gang/run.rs
+++ b/crates/coordination/src/gang/run.rs
@@ -69,11 +69,13 @@
     Held(u64),
     /// The run under hold `seq` was taken.
     Running(u64),
+    /// The run under hold `seq` was refused; an earlier one may still go on.
+    Refused(u64),
     /// The member is stopped.
     Stopped,
     /// The accelerators are free.
     Released,
-    /// The member is gone or will not run again.
+    /// The member does not run and never will again.
     Lost,
 }
 
@@ -221,7 +223,8 @@
                 state.acked.get_or_insert(now);
             }
             MemberAck::Running(s) if s == seq => state.ran = true,
-            MemberAck::Held(_) | MemberAck::Running(_) => {}
+            MemberAck::Refused(s) if s == seq => self.stop(),
+            MemberAck::Held(_) | MemberAck::Running(_) | MemberAck::Refused(_) => {}
             MemberAck::Stopped => state.stopped = true,
             MemberAck::Released => {
                 state.stopped = true;
--- a/crates/coordination/src/keyed.rs
+++ b/crates/coordination/src/keyed.rs
@@ -4,7 +4,8 @@
 //! that names an owner, lets the owner run the key once, and asks the owner of
 //! an earlier claim for its outcome. Together with a [`crate::key_gate::KeyGate`]
 //! at each owner, whose keys include the revision of the claim, a key runs at
-//! most once, and "not run" is only said while no other request can run it.
+//! most once. "Not run" is only said once the claim was withdrawn at the revision
+//! that never ran, so that no earlier request of the key has run or will.
 
 /// The tries to settle who owns a key.
 const MAX_ROUNDS: u32 = 8;
@@ -31,6 +32,11 @@
         /// The revision of the claim.
         claim: i64,
     },
+    /// Withdraws the claim if it is still at this revision.
+    Withdraw {
+        /// The revision of the claim.
+        claim: i64,
+    },
     /// Returns the owner's answer to the caller.
     Answer,
     /// Tells the caller that its request was not run.
@@ -46,10 +52,21 @@
     Mine(O, i64),
     /// Another claim stands at this revision.
     Other(O, i64),
-    /// Nobody could be proposed as the owner.
+    /// Nobody could be proposed as the owner, and no claim stands.
     NoOwner,
 }
 
+/// Tells how withdrawing a claim ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Withdrawn<O> {
+    /// No claim stands any more.
+    Done,
+    /// Another claim stands at this revision.
+    Other(O, i64),
+    /// The store did not say.
+    Silent,
+}
+
 /// Tells what came back from an owner.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Outcome {
@@ -64,26 +81,14 @@
 }
 
 /// Decides on one request with an idempotency key.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct KeyedRequest {
     rounds: u32,
-    /// Whether another request's claim was found and may still be acted on.
-    foreign: bool,
+    /// Whether the claim that was last seen is this request's own.
     mine: bool,
     claim: i64,
 }
 
-impl Default for KeyedRequest {
-    fn default() -> Self {
-        Self {
-            rounds: 0,
-            foreign: false,
-            mine: false,
-            claim: 0,
-        }
-    }
-}
-
 impl KeyedRequest {
     /// Returns the first step.
     pub fn begin<O>(&mut self) -> Step<O> {
@@ -98,26 +103,32 @@
         Step::Claim { revision }
     }
 
-    /// Returns the verdict when nothing more can be tried.
+    /// Returns the step when no further owner can be tried.
     fn give_up<O>(&self) -> Step<O> {
-        if self.foreign { Step::Unknown } else { Step::NotRun }
+        match (self.mine, self.claim) {
+            (true, claim) => Step::Withdraw { claim },
+            (false, 0) => Step::NotRun,
+            (false, _) => Step::Unknown,
+        }
     }
 
     /// Returns the step after a claim was written or found.
     pub fn claimed<O>(&mut self, claimed: Claimed<O>) -> Step<O> {
         match claimed {
             Claimed::Mine(owner, claim) => {
-                (self.mine, self.foreign, self.claim) = (true, false, claim);
+                (self.mine, self.claim) = (true, claim);
                 Step::Run { owner, claim }
             }
-            Claimed::Other(owner, claim) => {
-                (self.mine, self.foreign, self.claim) = (false, true, claim);
-                Step::Repeat { owner, claim }
-            }
-            Claimed::NoOwner => self.give_up(),
+            Claimed::Other(owner, claim) => self.ask(owner, claim),
+            Claimed::NoOwner => Step::NotRun,
         }
     }
 
+    fn ask<O>(&mut self, owner: O, claim: i64) -> Step<O> {
+        (self.mine, self.claim) = (false, claim);
+        Step::Repeat { owner, claim }
+    }
+
     /// Returns the step after an owner was asked.
     ///
     /// `retry` tells whether another try is allowed to a request that was not run.
@@ -125,9 +136,18 @@
         match (outcome, self.mine) {
             (Outcome::Answer, _) => Step::Answer,
             (Outcome::Refused | Outcome::NotSent, true) if retry => self.next_claim(self.claim),
-            (Outcome::Refused | Outcome::NotSent, true) => Step::NotRun,
+            (Outcome::Refused | Outcome::NotSent, true) => self.give_up(),
             (Outcome::Refused, false) => self.next_claim(self.claim),
             (Outcome::NotSent | Outcome::Doubtful, _) => Step::Unknown,
         }
     }
+
+    /// Returns the step after a claim was withdrawn.
+    pub fn withdrawn<O>(&mut self, withdrawn: Withdrawn<O>) -> Step<O> {
+        match withdrawn {
+            Withdrawn::Done => Step::NotRun,
+            Withdrawn::Other(owner, claim) => self.ask(owner, claim),
+            Withdrawn::Silent => Step::Unknown,
+        }
+    }
 }
--- a/crates/coordination/src/membership/swim.rs
+++ b/crates/coordination/src/membership/swim.rs
@@ -26,6 +26,8 @@
 const SPREAD: u32 = 3;
 /// The periods for which a dead member is remembered.
 const TOMBSTONE_PERIODS: u32 = 120;
+/// The periods after which a newcomer asks once more to hear of all members.
+const PULL_PERIODS: [u32; 3] = [2, 6, 14];
 /// The highest value of the local health multiplier.
 const MAX_STRAIN: u32 = 7;
 /// The periods, times the logarithm of the members, that a suspect has to object.
@@ -96,6 +98,8 @@
     next: Duration,
     seq: u64,
     strain: u32,
+    /// Periods since the start.
+    age: u32,
     rng: SmallRng,
     outputs: Vec<Output>,
 }
@@ -122,6 +126,7 @@
             next: Duration::ZERO,
             seq: 0,
             strain: 0,
+            age: 0,
             rng: SmallRng::seed_from_u64(seed),
             outputs: Vec::new(),
         }
@@ -216,10 +221,27 @@
             self.next = now + self.timing.period;
             self.end_probe(now);
             self.begin_probe(now);
+            self.pull();
         }
         std::mem::take(&mut self.outputs)
     }
 
+    /// Asks a random member for all others at a few fixed ages.
+    fn pull(&mut self) {
+        self.age = self.age.saturating_add(1);
+        if !PULL_PERIODS.contains(&self.age) {
+            return;
+        }
+        let live = self
+            .members
+            .values()
+            .filter(|m| m.news.state == State::Alive);
+        let addrs: Vec<SocketAddr> = live.map(|m| m.news.info.addr).collect();
+        if let Some(addr) = addrs.choose(&mut self.rng) {
+            self.send(*addr, Payload::Join);
+        }
+    }
+
     /// Takes in a message that came from `addr`.
     pub fn receive(&mut self, addr: SocketAddr, message: Message, now: Duration) -> Vec<Output> {
         for news in message.news {
--- /dev/null
+++ b/crates/coordination/tests/suite/admission.rs
@@ -0,0 +1,100 @@
+//! Slots and queues against a naive model.
+
+use crate::fixtures::*;
+use hibiscusbarrow_coordination::admission::*;
+use proptest::prelude::*;
+use smol_str::SmolStr;
+use std::collections::BTreeSet;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Offer { account: u8, deadline: u64 },
+    Finish,
+    Withdraw(usize),
+    Wait(u64),
+}
+
+fn any_step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        5 => (0..4u8, 1..500u64).prop_map(|(account, deadline)| Step::Offer { account, deadline }),
+        4 => Just(Step::Finish),
+        1 => (0..20usize).prop_map(Step::Withdraw),
+        2 => (1..100u64).prop_map(Step::Wait),
+    ]
+}
+
+proptest! {
+    #![proptest_config(fixed(1000))]
+
+    #[test]
+    fn no_request_is_lost_run_twice_or_run_beyond_the_slots(
+        slots in 1..4usize,
+        steps in prop::collection::vec(any_step(), 1..80),
+    ) {
+        let mut admission = Admission::new(slots, 3);
+        let mut waiting: Vec<(Ticket, u64)> = Vec::new();
+        let mut running = 0;
+        let mut ran = BTreeSet::new();
+        let mut now = 0;
+        for step in steps {
+            match step {
+                Step::Offer { account, deadline } => {
+                    let account: SmolStr = format!("a{account}").into();
+                    match admission.offer(&account, ms(now + deadline)) {
+                        Offer::Run(ticket) => {
+                            prop_assert!(ran.insert(ticket));
+                            running += 1;
+                        }
+                        Offer::Wait(ticket) => waiting.push((ticket, now + deadline)),
+                        Offer::Full => {}
+                    }
+                }
+                Step::Finish if running > 0 => {
+                    running -= 1;
+                    let (next, expired) = admission.finish(ms(now));
+                    for ticket in &expired {
+                        let place = waiting.iter().position(|w| w.0 == *ticket);
+                        let (_, deadline) = waiting.remove(place.expect("it waited"));
+                        prop_assert!(deadline <= now);
+                    }
+                    if let Some(ticket) = next {
+                        let place = waiting.iter().position(|w| w.0 == ticket);
+                        let (_, deadline) = waiting.remove(place.expect("it waited"));
+                        prop_assert!(deadline > now);
+                        prop_assert!(ran.insert(ticket));
+                        running += 1;
+                    }
+                }
+                Step::Finish => {}
+                Step::Withdraw(n) if !waiting.is_empty() => {
+                    let (ticket, _) = waiting.remove(n % waiting.len());
+                    prop_assert!(admission.withdraw(ticket));
+                    prop_assert!(!admission.withdraw(ticket));
+                }
+                Step::Withdraw(_) => {}
+                Step::Wait(time) => now += time,
+            }
+            prop_assert!(running <= slots);
+            prop_assert_eq!(admission.running(), running);
+            prop_assert_eq!(admission.queued(), waiting.len());
+            prop_assert!(running == slots || waiting.is_empty(), "a slot idles");
+        }
+    }
+}
+
+#[test]
+fn burst_of_one_account_does_not_delay_another() {
+    let mut admission = Admission::new(1, 50);
+    admission.offer(&"loud".into(), ms(1000));
+    (0..50).for_each(|_| {
+        admission.offer(&"loud".into(), ms(1000));
+    });
+    let Offer::Wait(quiet) = admission.offer(&"quiet".into(), ms(1000)) else {
+        panic!("the slot was taken")
+    };
+
+    let first = admission.finish(ms(1)).0;
+    let second = admission.finish(ms(2)).0;
+
+    assert!(first == Some(quiet) || second == Some(quiet));
+}
--- a/crates/placement/tests/suite/fixtures.rs
+++ b/crates/placement/tests/suite/fixtures.rs
@@ -8,7 +8,12 @@
 /// Returns workers `w0`, `w1`, … with these numbers of accelerators, three to a rack.
 pub fn workers(sizes: &[u8]) -> Vec<WorkerSpec> {
     let spec = |(i, size): (usize, &u8)| {
-        WorkerSpec::new(format!("w{i}"), format!("r{}", i / 3), format!("d{}", i / 6), *size)
+        WorkerSpec::new(
+            format!("w{i}"),
+            format!("r{}", i / 3),
+            format!("d{}", i / 6),
+            *size,
+        )
     };
     sizes.iter().enumerate().map(spec).collect()
 }
@@ -73,7 +78,9 @@
 
 /// Tells by trying every position whether shapes fit into free masks.
 pub fn fits_by_search(free: &[u8], shapes: &[Shape]) -> bool {
-    let Some((shape, rest)) = shapes.split_first() else { return true };
+    let Some((shape, rest)) = shapes.split_first() else {
+        return true;
+    };
     let mut free = free.to_vec();
     for worker in 0..free.len() {
         for mask in shape.masks() {
--- a/crates/placement/tests/suite/quarantine.rs
+++ b/crates/placement/tests/suite/quarantine.rs
@@ -24,7 +24,9 @@
 fn worker_that_fails_three_jobs_is_shunned_for_a_while() {
     let mut scheduler = scheduler(&[8], vec![account("a", &[])], plain_policy());
 
-    let worker = (0..3).map(|i| fail_once(&mut scheduler, &format!("j{i}"), i)).last();
+    let worker = (0..3)
+        .map(|i| fail_once(&mut scheduler, &format!("j{i}"), i))
+        .last();
 
     let worker = worker.expect("three jobs ran");
     assert!(scheduler.is_quarantined(worker, at(10)));
--- a/crates/placement/tests/suite/queueing.rs
+++ b/crates/placement/tests/suite/queueing.rs
@@ -25,7 +25,11 @@
         if second == 10 {
             scheduler.submit(Job::new("large", "b", Shape::Worker, 2), now);
         }
-        running.extend(settle(&mut scheduler, now).into_iter().map(|name| (name, second)));
+        running.extend(
+            settle(&mut scheduler, now)
+                .into_iter()
+                .map(|name| (name, second)),
+        );
         if running.iter().any(|(name, _)| name == "large") {
             return Some(second);
         }
@@ -44,7 +48,10 @@
     let without = starve(plain_policy(), 600);
     let with = starve(eager_policy(), 600);
 
-    assert_eq!(without, None, "the stream does not starve the gang, so the test shows nothing");
+    assert_eq!(
+        without, None,
+        "the stream does not starve the gang, so the test shows nothing"
+    );
     assert!(with.is_some(), "the reservation did not help");
 }
 
@@ -116,8 +123,13 @@
     let key = scheduler.submit(Job::new("huge", "a", Shape::Worker, 2), at(0));
 
     let state = &scheduler.job(key).expect("it is live").state;
-    let JobState::Parked(reason) = state else { panic!("{state:?}") };
-    assert_eq!(reason, "needs 2 x Worker; the workers in service have 1 Quad, 1 Worker");
+    let JobState::Parked(reason) = state else {
+        panic!("{state:?}")
+    };
+    assert_eq!(
+        reason,
+        "needs 2 x Worker; the workers in service have 1 Quad, 1 Worker"
+    );
 }
 
 #[test]
@@ -133,7 +145,11 @@
 
 #[test]
 fn cancelled_jobs_leave_nothing_behind() {
-    let mut scheduler = scheduler(&[8], vec![account("a", &[(Shape::Quad, 1)])], plain_policy());
+    let mut scheduler = scheduler(
+        &[8],
+        vec![account("a", &[(Shape::Quad, 1)])],
+        plain_policy(),
+    );
     let keys: Vec<JobKey> = (0..100)
         .map(|i| scheduler.submit(Job::new(format!("j{i}"), "a", Shape::Quad, 1), at(0)))
         .collect();
--- a/crates/placement/tests/suite/reclaim.rs
+++ b/crates/placement/tests/suite/reclaim.rs
@@ -8,12 +8,19 @@
 /// One step of a history.
 #[derive(Clone, Debug)]
 enum Step {
-    Submit { account: usize, shape: Shape, count: u32 },
+    Submit {
+        account: usize,
+        shape: Shape,
+        count: u32,
+    },
     Finish(usize),
     Cancel(usize),
     Fail(usize),
     Heal(usize),
-    Renew { account: usize, shape: Shape },
+    Renew {
+        account: usize,
+        shape: Shape,
+    },
 }
 
 fn any_step() -> impl Strategy<Value = Step> {
@@ -55,11 +62,16 @@
         self.now += 10;
         let now = at(self.now);
         match step {
-            Step::Submit { account, shape, count } => {
+            Step::Submit {
+                account,
+                shape,
+                count,
+            } => {
                 self.submitted += 1;
                 let name = format!("j{}", self.submitted);
                 let account = self.accounts[*account].name.clone();
-                self.scheduler.submit(Job::new(name, account, *shape, *count), now);
+                self.scheduler
+                    .submit(Job::new(name, account, *shape, *count), now);
             }
             Step::Finish(n) => {
                 if let Some(key) = self.pick(*n, |j| j.state == JobState::Placed) {
@@ -233,12 +245,21 @@
         reason: "a guarantee was claimed",
     };
     assert_eq!(first, vec![stop]);
-    assert!(matches!(second[0], Decision::Start { guaranteed: true, .. }));
+    assert!(matches!(
+        second[0],
+        Decision::Start {
+            guaranteed: true,
+            ..
+        }
+    ));
 }
 
 #[test]
 fn guaranteed_gang_is_never_preempted_by_another_guarantee() {
-    let accounts = vec![account("a", &[(Shape::Quad, 2)]), account("b", &[(Shape::Quad, 2)])];
+    let accounts = vec![
+        account("a", &[(Shape::Quad, 2)]),
+        account("b", &[(Shape::Quad, 2)]),
+    ];
     let mut scheduler = scheduler(&[8, 8], accounts, plain_policy());
     scheduler.submit(Job::new("a1", "a", Shape::Quad, 2), at(0));
     settle(&mut scheduler, at(0));
@@ -246,5 +267,11 @@
     scheduler.submit(Job::new("b1", "b", Shape::Quad, 2), at(1));
     let decisions = scheduler.pass(at(1));
 
-    assert!(matches!(decisions[..], [Decision::Start { guaranteed: true, .. }]));
+    assert!(matches!(
+        decisions[..],
+        [Decision::Start {
+            guaranteed: true,
+            ..
+        }]
+    ));
 }
--- a/crates/placement/tests/suite/renewal.rs
+++ b/crates/placement/tests/suite/renewal.rs
@@ -11,7 +11,14 @@
 
     let result = scheduler.set_accounts(vec![offered]);
 
-    assert!(matches!(result, Err(QuotaError::Shrinks { held: 2, offered: 1, .. })));
+    assert!(matches!(
+        result,
+        Err(QuotaError::Shrinks {
+            held: 2,
+            offered: 1,
+            ..
+        })
+    ));
     assert_eq!(scheduler.quotas().needs().get(Shape::Quad), 2);
 }
 
@@ -22,7 +29,10 @@
 
     let result = scheduler.set_accounts(vec![account("b", &[])]);
 
-    assert!(matches!(result, Err(QuotaError::Shrinks { offered: 0, .. })));
+    assert!(matches!(
+        result,
+        Err(QuotaError::Shrinks { offered: 0, .. })
+    ));
 }
 
 #[test]
@@ -47,15 +57,24 @@
     }
     settle(&mut scheduler, at(0));
     let on_first_worker = |job: &Job| job.cells[0].worker == WorkerKey(0);
-    let (key, _) = scheduler.jobs().find(|(_, j)| on_first_worker(j)).expect("one is there");
+    let (key, _) = scheduler
+        .jobs()
+        .find(|(_, j)| on_first_worker(j))
+        .expect("one is there");
     scheduler.finished(key, at(1));
     settle(&mut scheduler, at(1));
 
     let offered = account("a", &[(Shape::Quad, 2), (Shape::Worker, 1)]);
     let grown = account("a", &[(Shape::Quad, 3), (Shape::Worker, 1)]);
 
-    assert!(matches!(scheduler.set_accounts(vec![offered]), Err(QuotaError::Shrinks { .. })));
-    assert!(matches!(scheduler.set_accounts(vec![grown]), Err(QuotaError::Unfit(_))));
+    assert!(matches!(
+        scheduler.set_accounts(vec![offered]),
+        Err(QuotaError::Shrinks { .. })
+    ));
+    assert!(matches!(
+        scheduler.set_accounts(vec![grown]),
+        Err(QuotaError::Unfit(_))
+    ));
 }
 
 #[test]
@@ -65,7 +84,10 @@
     let lost = WorkerKey(1);
 
     scheduler.fail_worker(lost);
-    let missing = scheduler.quotas().shortfall(scheduler.grid()).get(Shape::Worker);
+    let missing = scheduler
+        .quotas()
+        .shortfall(scheduler.grid())
+        .get(Shape::Worker);
     let spec = scheduler.grid().spec(lost).clone();
     scheduler.add_worker(spec);
     let healed = scheduler.quotas().shortfall(scheduler.grid());
--- a/crates/roles/src/gateway/claim.rs
+++ b/crates/roles/src/gateway/claim.rs
@@ -15,6 +15,7 @@
 use hibiscusbarrow_coordination::keyed::KeyedRequest;
 use hibiscusbarrow_coordination::keyed::Outcome;
 use hibiscusbarrow_coordination::keyed::Step;
+use hibiscusbarrow_coordination::keyed::Withdrawn;
 use hibiscusbarrow_model::code::Code;
 use hibiscusbarrow_model::code::Fault;
 use hibiscusbarrow_model::state::CLAIMS;
@@ -69,13 +70,47 @@
             failure: vec![RequestOp::get(key)],
         };
         let found = match self.node.store.txn(&request).await {
-            Ok(reply) if reply.succeeded => return Ok(Claimed::Mine(record.clone(), reply.header.revision)),
+            Ok(reply) if reply.succeeded => {
+                return Ok(Claimed::Mine(record.clone(), reply.header.revision));
+            }
             Ok(reply) => reply.found().cloned(),
             Err(StoreError::Unknown(_)) => self.node.store.get(key).await?,
             Err(e) => return Err(e),
         };
         owner(found, record).ok_or_else(|| StoreError::Unknown("the claim is not there".into()))
     }
+
+    /// Reads who owns a key when nobody can be proposed.
+    async fn read(&self, key: &str) -> Result<Claimed<ClaimRecord>, StoreError> {
+        let held = other(self.node.store.get(key).await?);
+        Ok(held.map_or(Claimed::NoOwner, |(owner, at)| Claimed::Other(owner, at)))
+    }
+
+    /// Deletes a claim that never ran if it is still at `revision`.
+    async fn withdraw(&self, key: &str, revision: i64) -> Withdrawn<ClaimRecord> {
+        let request = TxnRequest {
+            compare: vec![Compare::unchanged(key, revision)],
+            success: vec![RequestOp::delete(key)],
+            failure: vec![RequestOp::get(key)],
+        };
+        let found = match self.node.store.txn(&request).await {
+            Ok(reply) if reply.succeeded => return Withdrawn::Done,
+            Ok(reply) => Ok(reply.found().cloned()),
+            Err(StoreError::Unknown(_)) => self.node.store.get(key).await,
+            Err(e) => Err(e),
+        };
+        match found.map(other) {
+            Ok(None) => Withdrawn::Done,
+            Ok(Some((_, at))) if at == revision => Withdrawn::Silent,
+            Ok(Some((owner, at))) => Withdrawn::Other(owner, at),
+            Err(_) => Withdrawn::Silent,
+        }
+    }
+}
+
+fn other(found: Option<KeyValue>) -> Option<(ClaimRecord, i64)> {
+    let entry = found?;
+    Some((entry.json()?, entry.mod_revision))
 }
 
 fn owner(found: Option<KeyValue>, record: &ClaimRecord) -> Option<Claimed<ClaimRecord>> {
@@ -118,6 +153,9 @@
                         machine.replied(outcome, true)
                     }
                 },
+                Step::Withdraw { claim } => {
+                    machine.withdrawn(self.claims.withdraw(&key, claim).await)
+                }
                 Step::Answer => unreachable!("answers are returned at once"),
                 Step::NotRun => return Err(last),
                 Step::Unknown if !last.code.is_not_run() => return Err(last),
@@ -134,7 +172,7 @@
     ) -> Result<Claimed<ClaimRecord>, StoreError> {
         match self.propose(call) {
             Some(record) => self.claims.write(key, &record, revision).await,
-            None => Ok(Claimed::NoOwner),
+            None => self.claims.read(key).await,
         }
     }
 
@@ -197,12 +235,8 @@
         Attempt::Answered(reply) if reply.code.is_not_run() => {
             Err((Outcome::Refused, Fault::new(reply.code, reply.detail)))
         }
-        Attempt::Answered(reply) => {
-            Err((Outcome::Doubtful, Fault::new(reply.code, reply.detail)))
-        }
-        Attempt::NotSent(detail) => {
-            Err((Outcome::NotSent, Fault::new(Code::NotRun, detail)))
-        }
+        Attempt::Answered(reply) => Err((Outcome::Doubtful, Fault::new(reply.code, reply.detail))),
+        Attempt::NotSent(detail) => Err((Outcome::NotSent, Fault::new(Code::NotRun, detail))),
         Attempt::Unanswered(detail) => {
             Err((Outcome::Doubtful, Fault::new(Code::OutcomeUnknown, detail)))
         }
--- a/crates/roles/src/placer/gangs.rs
+++ b/crates/roles/src/placer/gangs.rs
@@ -104,7 +104,7 @@
             (Command::Run { seq, .. }, Code::Done) => MemberAck::Running(seq),
             (Command::Stop, Code::Done) => MemberAck::Stopped,
             (Command::Release, Code::Done) => MemberAck::Released,
-            (Command::Run { .. }, Code::NoHold) => MemberAck::Lost,
+            (Command::Run { seq, .. }, Code::NoHold) => MemberAck::Refused(seq),
             _ => return,
         };
         self.run.ack(sent.member, ack, now);
