--- a/crates/roles/src/gateway/route.rs
+++ b/crates/roles/src/gateway/route.rs
@@ -32,6 +32,11 @@
 /// The time past the deadline for which a sidecar's own verdict is awaited.
 const VERDICT_GRACE: Duration = Duration::from_millis(250);
 
+/// The time that a request waits for a first configuration or upstream to be heard of.
+const FIRST_VIEW_WAIT: Duration = Duration::from_secs(2);
+/// The pause between looks at whether one was heard of.
+const FIRST_VIEW_POLL: Duration = Duration::from_millis(10);
+
 /// Header fields of a caller that are not passed on.
 const OWN_FIELDS: [&str; 9] = [
     "connection",
@@ -94,6 +99,9 @@
         let began = self.node.clock.now();
         let id = self.node.next_id();
         let account: SmolStr = request.header("x-account").into();
+        let patience = self.node.clock.now() + FIRST_VIEW_WAIT;
+        self.await_view(patience, || self.node.loaded().is_some())
+            .await;
         let reply = match self.prepare(target, request, id.clone()) {
             Ok(call) => self.run(call).await,
             Err(fault) => Err(fault),
@@ -198,6 +206,10 @@
 
     async fn run(&self, mut call: Call) -> Result<Reply, Fault> {
         self.budget.borrow_mut().request();
+        let service = call.request.service.clone();
+        let patience = call.deadline.min(self.node.clock.now() + FIRST_VIEW_WAIT);
+        let is_there = || !self.node.members().upstreams(&service).is_empty();
+        self.await_view(patience, is_there).await;
         if call.request.key.is_empty() {
             self.run_plain(&mut call).await
         } else {
@@ -205,6 +217,13 @@
         }
     }
 
+    /// Waits for something that a gateway which has just started may not have heard yet.
+    async fn await_view(&self, until: Duration, is_there: impl Fn() -> bool) {
+        while !is_there() && self.node.clock.now() < until {
+            compio::time::sleep(FIRST_VIEW_POLL).await;
+        }
+    }
+
     /// Runs a request without a key: elsewhere again only if that cannot double it.
     async fn run_plain(&self, call: &mut Call) -> Result<Reply, Fault> {
         loop {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -62,6 +62,8 @@
                 optional --slots slots: u16
                 /// Connections that are accepted; 64 by default.
                 optional --connections connections: u16
+                /// A file that gets a line for each run, before it is answered.
+                optional --journal journal: PathBuf
             }
         }
 
--- a/src/cmd/standin.rs
+++ b/src/cmd/standin.rs
@@ -79,6 +79,10 @@
         slots: args.slots.unwrap_or(SLOTS),
         connections: args.connections.unwrap_or(CONNECTIONS),
     };
-    upstream::serve(listener, announcement, args.sidecar, stop_flag()).await;
-    Ok(())
+    let settings = upstream::UpstreamSettings {
+        announcement,
+        sidecar: args.sidecar,
+        journal: args.journal,
+    };
+    upstream::serve(listener, settings, stop_flag()).await
 }
--- /dev/null
+++ b/tests/testsuite/configuration.rs
@@ -0,0 +1,177 @@
+//! Configurations: whole, one winner, everywhere, never back.
+
+use crate::cluster::*;
+use serde_json::Value;
+use serde_json::json;
+use std::thread;
+
+fn with_service(name: &str) -> String {
+    CONFIG.replace(
+        "{ \"name\": \"jumelage\" }",
+        &format!("{{ \"name\": \"jumelage\" }}, {{ \"name\": \"{name}\" }}"),
+    )
+}
+
+fn apply_request(text: &str, base: Option<u64>, operation: &str) -> Value {
+    json!({
+        "file": "test.jsonc", "text": text, "base": base,
+        "operator": operation, "operation": operation,
+    })
+}
+
+#[test]
+fn racing_operators_get_one_winner_and_a_conflict_that_names_it() {
+    let cluster = Plan::small().start();
+    cluster.apply(CONFIG);
+    let gateways = cluster.gateways();
+
+    let race = ["anna", "ben", "chie", "dan"].map(|operator| {
+        let gateway = gateways[operator.len() % gateways.len()];
+        let body = apply_request(&with_service(operator), Some(1), operator);
+        let request = http::Request::post("/v1/config")
+            .header("host", "test")
+            .body(bytes::Bytes::from(body.to_string()))
+            .expect("it is valid");
+        thread::spawn(move || {
+            let client = hibiscusbarrow_adapters::http::HttpClient::default();
+            let reply = block_on(client.call(gateway, request, PATIENCE, 1 << 20));
+            let reply = reply.expect("the gateway answers");
+            (
+                reply.status().as_u16(),
+                String::from_utf8_lossy(reply.body()).into_owned(),
+            )
+        })
+    });
+    let replies = race.map(|t| t.join().expect("it ends"));
+
+    let winners = replies.iter().filter(|(status, _)| *status == 200).count();
+    assert_eq!(winners, 1, "{replies:?}");
+    for (_, body) in replies.iter().filter(|(status, _)| *status != 200) {
+        assert!(body.contains("203"), "{body}");
+    }
+    cluster.wait("the generation", || cluster.lowest_generation() == 2);
+}
+
+#[test]
+fn stale_base_is_refused_and_tells_the_difference() {
+    let cluster = Plan::small().start();
+    cluster.apply(CONFIG);
+    cluster.apply(&with_service("tournee"));
+
+    let path = cluster.write("stale.jsonc", &with_service("rabais"));
+    let gateway = cluster.addr("gateway-1").to_string();
+    let output = cluster.command(&["apply", "-g", &gateway, "--base", "1", &path]);
+
+    let errors = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(4), "{errors}");
+    assert!(errors.contains("HB203"), "{errors}");
+    assert!(errors.contains("- service tournee"), "{errors}");
+    assert!(errors.contains("+ service rabais"), "{errors}");
+    assert_eq!(cluster.lowest_generation(), 2);
+}
+
+#[test]
+fn lost_answer_to_the_commit_is_resolved_and_a_repeat_changes_nothing() {
+    let cluster = Plan::small().gateways(1).start();
+    cluster.apply(CONFIG);
+    let gateway = cluster.addr("gateway-0");
+    let body = apply_request(&with_service("tournee"), Some(1), "op-1");
+
+    cluster.store_fault(&json!({ "mode": "lose", "delay_ms": 20, "count": 40 }));
+    let first = cluster.post(gateway, "/v1/config", &body);
+    cluster.store_fault(&json!({ "mode": "up" }));
+    let again = cluster.post(gateway, "/v1/config", &body);
+    let third = cluster.post(gateway, "/v1/config", &body);
+
+    assert_eq!(again.status(), 200, "{first:?} {again:?}");
+    assert_eq!(again.body(), third.body());
+    cluster.wait("the generation", || cluster.lowest_generation() == 2);
+}
+
+#[test]
+fn killed_frozen_and_restarted_daemons_reach_the_newest_generation() {
+    let mut cluster = Plan::small().start();
+    cluster.apply(CONFIG);
+    cluster.kill("sidecar-0");
+    cluster.signal("sidecar-1", "-STOP");
+    cluster.signal("gateway-1", "-STOP");
+    let path = cluster.write("next.jsonc", &with_service("tournee"));
+    cluster.operate("apply", &[&path]);
+
+    cluster.restart("sidecar-0");
+    cluster.signal("sidecar-1", "-CONT");
+    cluster.signal("gateway-1", "-CONT");
+
+    cluster.wait("the generation", || cluster.lowest_generation() == 2);
+    for name in ["sidecar-0", "sidecar-1", "gateway-0", "gateway-1"] {
+        let events: Vec<Value> = cluster
+            .get(cluster.addr(name), "/v1/events")
+            .expect("it answers");
+        let applied = events.iter().filter(|e| e["event"] == 1402);
+        let order: Vec<u64> = applied
+            .map(|e| e["subject"].as_str().unwrap_or("0").parse().unwrap_or(0))
+            .collect();
+        assert!(order.is_sorted(), "{name} went back: {order:?}");
+        assert_eq!(order.last(), Some(&2), "{name}");
+    }
+}
+
+#[test]
+fn restarted_gateway_never_comes_back_with_an_older_generation() {
+    let mut cluster = Plan::small().start();
+    cluster.apply(CONFIG);
+    cluster.apply(&with_service("tournee"));
+
+    cluster.stop("gateway-0");
+    cluster.restart("gateway-0");
+
+    cluster.wait("the generation", || cluster.lowest_generation() == 2);
+    let events: Vec<Value> = cluster
+        .get(cluster.addr("gateway-0"), "/v1/events")
+        .expect("it answers");
+    let applied: Vec<&Value> = events.iter().filter(|e| e["event"] == 1402).collect();
+    assert!(applied.iter().all(|e| e["subject"] == "2"), "{applied:?}");
+}
+
+#[test]
+fn shrinking_and_impossible_guarantees_are_refused_whole() {
+    let cluster = Plan::small().start();
+    cluster.apply(CONFIG);
+    let cases = [
+        (
+            CONFIG.replace("\"count\": 1", "\"count\": 3"),
+            "HB202",
+            "missing",
+        ),
+        (
+            CONFIG.replace("\"worker\", \"count\": 1", "\"quad\", \"count\": 1"),
+            "HB201",
+            "offers 0",
+        ),
+    ];
+    for (text, code, words) in cases {
+        let path = cluster.write("bad.jsonc", &text);
+        let gateway = cluster.addr("gateway-0").to_string();
+
+        let output = cluster.command(&["apply", "-g", &gateway, &path]);
+
+        let errors = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(4), "{errors}");
+        assert!(errors.contains(code) && errors.contains(words), "{errors}");
+    }
+    assert_eq!(cluster.lowest_generation(), 1);
+}
+
+#[test]
+fn large_file_is_accepted_in_parts_and_reaches_everyone() {
+    let cluster = Plan::small().start();
+    let services: Vec<Value> = (0..30_000)
+        .map(|i| json!({ "name": format!("service-number-{i}"), "deadline_ms": 1000 + i }))
+        .collect();
+    let text = json!({ "accounts": [{ "name": "agence-a" }], "services": services }).to_string();
+    assert!(text.len() > 1 << 20);
+
+    let generation = cluster.apply(&text);
+
+    assert_eq!(generation, 1);
+}
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,12 @@
+//! Black-box tests, driven through the program as its users drive it.
+
+mod catalogues;
+mod cluster;
+mod commands;
+mod configuration;
+mod failures;
+mod jobs;
+mod keys;
+mod load;
+mod path;
+mod stops;
