--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -28,3 +28,8 @@
 pub mod keyed;
 pub mod lease;
 pub mod membership;
+
+/// Runs the examples of the guide with the tests of the crate.
+#[cfg(doctest)]
+#[doc = include_str!("../../../docs/coordination/embedding.md")]
+pub struct Embedding;
--- a/crates/coordination/tests/suite/keyed.rs
+++ b/crates/coordination/tests/suite/keyed.rs
@@ -188,7 +188,7 @@
         if self.rng.random_range(0..100) < 10 {
             return None;
         }
-        let Some(claim) = self.store else { return None };
+        let claim = self.store?;
         if claim.writer == writer {
             return Some(Claimed::Mine(claim.owner, claim.revision));
         }
--- a/crates/coordination/tests/suite/membership.rs
+++ b/crates/coordination/tests/suite/membership.rs
@@ -248,17 +248,17 @@
         cuts in prop::collection::vec(0..8usize, 0..6),
     ) {
         let mut sim = Sim::new(8, seed, network);
-        let mut seen = vec![0u64; 8];
+        let mut seen = [0u64; 8];
         for (round, cut) in cuts.iter().enumerate() {
             sim.down.insert(*cut);
             sim.nodes[(cut + 1) % 8].set_generation(round as u64 + 1);
             sim.run(PERIOD * 10);
             sim.down.clear();
             sim.run(PERIOD * 10);
-            for observer in 0..8 {
+            for (observer, seen) in seen.iter_mut().enumerate() {
                 for member in sim.nodes[observer].members().filter(|m| m.news.name == "n0") {
-                    prop_assert!(member.news.incarnation >= seen[observer]);
-                    seen[observer] = member.news.incarnation;
+                    prop_assert!(member.news.incarnation >= *seen);
+                    *seen = member.news.incarnation;
                 }
             }
         }
--- a/src/cmd/demo.rs
+++ /dev/null
@@ -1,4 +0,0 @@
-//! `hibiscusbarrow demo`.
-pub fn execute(_: crate::cli::Demo) -> anyhow::Result<()> {
-    Ok(())
-}
