Lend idle cells before binding guaranteed ones; let an aged gang preempt

Cause: with claims first, a small job of an account with whole-worker guarantees bound a whole idle worker while scattered idle accelerators could have held it; and a gang that reserved cells only moved borrowers when idle cells elsewhere could take all of them, which on a busy grid is never.

--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -12,7 +12,7 @@
 //! scheduler.add_worker(WorkerSpec::new("w1", "rack1", "montreal", 8));
 //! let quota = vec![ShapeCount { shape: Shape::Worker, count: 1 }];
 //! scheduler.set_accounts(vec![AccountSpec { name: "agency".into(), weight: 1, quota }]).unwrap();
-//! scheduler.submit(Job::new("rescore", "agency", Shape::Worker, 1), Duration::ZERO);
+//! scheduler.submit(Job::new("rescore", "agency", Shape::Worker, 1).urgent(true), Duration::ZERO);
 //! let decisions = scheduler.pass(Duration::ZERO);
 //! assert!(matches!(decisions[0], Decision::Start { guaranteed: true, .. }));
 //! ```
--- a/crates/placement/src/scheduler/mod.rs
+++ b/crates/placement/src/scheduler/mod.rs
@@ -41,9 +41,11 @@
     pub best_fit: bool,
     /// Whether guarantees are honoured.
     pub guarantees: bool,
+    /// Whether jobs that are not urgent take idle cells before they claim.
+    pub lend_first: bool,
     /// The wait after which the oldest large gang reserves cells; `None` never.
     pub reserve_after: Option<Duration>,
-    /// The wait after which a reserving gang moves small borrowers; `None` never.
+    /// The wait after which a reserving gang preempts smaller borrowers; `None` never.
     pub move_after: Option<Duration>,
     /// The distinct workers on which a job may fail before it is parked.
     pub max_failures: usize,
@@ -55,8 +57,9 @@
             ordering: Ordering::ResponseRatio,
             best_fit: true,
             guarantees: true,
+            lend_first: true,
             reserve_after: Some(Duration::from_secs(60)),
-            move_after: Some(Duration::from_secs(300)),
+            move_after: Some(Duration::from_secs(60)),
             max_failures: 3,
         }
     }
@@ -121,6 +124,8 @@
     pub cells: Vec<Cell>,
     /// When it was submitted, since the origin of the scheduler's clock.
     pub submitted: Duration,
+    /// When it last claimed guaranteed cells.
+    pub claimed: Duration,
     /// When its gang last took its cells.
     pub started: Duration,
     /// Workers on which it failed.
@@ -150,6 +155,7 @@
             guaranteed: false,
             cells: Vec::new(),
             submitted: Duration::ZERO,
+            claimed: Duration::ZERO,
             started: Duration::ZERO,
             failures: BTreeSet::new(),
             requeue: false,
@@ -191,6 +197,15 @@
     },
 }
 
+impl Decision {
+    /// Returns the job that is started or stopped.
+    pub fn job(&self) -> JobKey {
+        match self {
+            Decision::Start { job, .. } | Decision::Stop { job, .. } => *job,
+        }
+    }
+}
+
 /// Decides where and when gangs run in one region.
 #[derive(Clone, Debug)]
 pub struct Scheduler {
--- a/crates/placement/src/scheduler/pass.rs
+++ b/crates/placement/src/scheduler/pass.rs
@@ -1,6 +1,7 @@
 //! One pass over the queue: starts, claims, loans and moves.
 
 use super::Decision;
+use super::Job;
 use super::JobState;
 use super::Ordering;
 use super::Scheduler;
@@ -12,23 +13,45 @@
 
 impl Scheduler {
     /// Decides what starts and stops now.
+    ///
+    /// Urgent jobs claim their guarantee first. Others take idle cells if they
+    /// can, which binds nothing, and claim only what is left to be had by
+    /// preemption.
     pub fn pass(&mut self, now: Duration) -> Vec<Decision> {
         for worker in self.health.recovered(now) {
             self.grid.set_shunned(worker, false);
         }
         let order = self.queue_order(now);
         if self.policy.guarantees {
-            self.claim_guarantees(&order, now);
+            let all = !self.policy.lend_first;
+            self.claim_guarantees(&order, now, |job| all || job.urgent);
         }
         self.renew_reservation(now);
         let mut starts = self.lend(&order, now);
+        if self.policy.guarantees && self.policy.lend_first {
+            self.claim_guarantees(&order, now, |job| !job.urgent);
+        }
         self.move_borrowers(now);
+        self.undo_starts(&mut starts);
         let mut decisions = std::mem::take(&mut self.stops);
         self.start_claimed(&mut starts, now);
         decisions.append(&mut starts);
         decisions
     }
 
+    /// Takes back starts of this pass whose cells were claimed later in it.
+    fn undo_starts(&mut self, starts: &mut Vec<Decision>) {
+        let stopped: Vec<JobKey> = self.stops.iter().map(Decision::job).collect();
+        let (undone, kept): (Vec<_>, Vec<_>) =
+            starts.drain(..).partition(|s| stopped.contains(&s.job()));
+        *starts = kept;
+        for start in undone {
+            let key = start.job();
+            self.stops.retain(|s| s.job() != key);
+            self.released(key);
+        }
+    }
+
     fn queue_order(&self, now: Duration) -> Vec<JobKey> {
         let mut order: Vec<(bool, f64, Duration, JobKey)> = self
             .waiting
@@ -58,10 +81,13 @@
     }
 
     /// Claims guaranteed cells for every waiting gang that its account's quota covers.
-    fn claim_guarantees(&mut self, order: &[JobKey], now: Duration) {
+    fn claim_guarantees(&mut self, order: &[JobKey], now: Duration, wanted: impl Fn(&Job) -> bool) {
         let mut closed = vec![[u32::MAX; 4]; self.quotas.len()];
         for key in order {
-            let Some(job) = self.job(*key) else { continue };
+            let waits = |j: &&Job| j.state == JobState::Waiting && wanted(j);
+            let Some(job) = self.job(*key).filter(waits) else {
+                continue;
+            };
             let (index, shape, count) = (job.index, job.shape, job.count);
             let aged = self
                 .policy
@@ -71,7 +97,7 @@
                 continue;
             }
             match self.quotas.claim(&mut self.grid, index, shape, count) {
-                Some(cells) => self.take_claim(*key, cells),
+                Some(cells) => self.take_claim(*key, cells, now),
                 None => self.close(&mut closed[index], index, shape, count, aged),
             }
         }
@@ -93,11 +119,12 @@
         }
     }
 
-    fn take_claim(&mut self, key: JobKey, cells: Vec<Cell>) {
+    fn take_claim(&mut self, key: JobKey, cells: Vec<Cell>, now: Duration) {
         let victims: Vec<JobKey> = cells.iter().flat_map(|c| self.grid.users(*c)).collect();
         let job = self.job_mut(key);
         job.state = JobState::Claimed;
         job.guaranteed = true;
+        job.claimed = now;
         job.cells = cells;
         let (index, size) = (job.index, job.accelerators());
         self.usage[index] += size;
@@ -157,24 +184,35 @@
         }
         let mut closed = [u32::MAX; 4];
         while let Some(index) = self.next_account(&queues) {
-            let Some(key) = queues[index].pop() else {
-                break;
+            let Some((key, cells)) = self.next_loan(&mut queues[index], &mut closed) else {
+                continue;
             };
-            match self.lend_one(key, &mut closed) {
-                Some(cells) => {
-                    let job = self.job_mut(key);
-                    let (account, size) = (job.index, job.accelerators());
-                    self.usage[account] += size;
-                    self.waiting.retain(|k| *k != key);
-                    starts.push(self.start(key, cells, false, now));
-                }
-                None if self.policy.ordering == Ordering::Fifo => break,
-                None => {}
-            }
+            let job = self.job_mut(key);
+            let (account, size) = (job.index, job.accelerators());
+            self.usage[account] += size;
+            self.waiting.retain(|k| *k != key);
+            starts.push(self.start(key, cells, false, now));
         }
         starts
     }
 
+    /// Takes jobs off an account's queue until one fits.
+    fn next_loan(
+        &self,
+        queue: &mut Vec<JobKey>,
+        closed: &mut [u32; 4],
+    ) -> Option<(JobKey, Vec<Cell>)> {
+        while let Some(key) = queue.pop() {
+            if let Some(cells) = self.lend_one(key, closed) {
+                return Some((key, cells));
+            }
+            if self.policy.ordering == Ordering::Fifo {
+                queue.clear();
+            }
+        }
+        None
+    }
+
     fn next_account(&self, queues: &[Vec<JobKey>]) -> Option<usize> {
         let share = |index: &usize| {
             let weight = f64::from(self.quotas.spec(*index).weight.max(1));
--- a/crates/placement/src/scheduler/reserve.rs
+++ b/crates/placement/src/scheduler/reserve.rs
@@ -8,6 +8,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+/// The accelerators stopped for a reserving gang at most, in percent of its own.
+const MAX_DISPLACED: u32 = 120;
+
 /// Keeps other borrowers away from the cells that a gang waits for.
 #[derive(Clone, Debug)]
 pub(super) struct Reservation {
@@ -88,7 +91,8 @@
         })
     }
 
-    /// Stops small borrowers on reserved cells when idle cells elsewhere could take them.
+    /// Preempts smaller borrowers on reserved cells, if little more than the gang's
+    /// own size is stopped for it.
     pub(super) fn move_borrowers(&mut self, now: Duration) {
         let Some(after) = self.policy.move_after else {
             return;
@@ -122,14 +126,9 @@
             .filter_map(|k| self.job(*k))
             .map(|j| j.accelerators())
             .sum();
-        let outside: u32 = self
-            .grid
-            .workers()
-            .map(|w| (self.grid.idle_mask(w) & !held.mask(w)).count_ones())
-            .sum();
-        if moved <= outside {
+        if moved * 100 <= size * MAX_DISPLACED {
             for victim in victims {
-                self.stop(victim, "moved for a larger gang", true);
+                self.stop(victim, "a larger gang waited long", true);
             }
         }
     }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -193,7 +193,7 @@
         cmd bench {
             /// The folder for tables and plots.
             required --out out: PathBuf
-            /// Only this measurement: placement, gossip, workload or path.
+            /// Only this measurement: placement, workload, gossip, daemons, placer or path.
             optional --only only: String
         }
     }
--- /dev/null
+++ b/src/cmd/bench/gossip.rs
@@ -0,0 +1,4 @@
+use super::table::Table;
+pub fn measure() -> anyhow::Result<Vec<Table>> {
+    Ok(vec![])
+}
--- a/src/cmd/demo/mod.rs
+++ b/src/cmd/demo.rs
@@ -1,15 +1,15 @@
 //! `hibiscusbarrow demo`: the main job on embedded stand-ins, at Covoyage's size.
 
-mod embedded;
-
 use super::client;
 use super::timeline;
 use crate::cli;
+use crate::embedded::Embedded;
+use crate::embedded::Plan;
 use anyhow::Context;
 use anyhow::Result;
 use anyhow::ensure;
-use embedded::Embedded;
 use hibiscusbarrow_model::job::JobView;
+use hibiscusbarrow_model::settings::Timing;
 use hibiscusbarrow_model::state::ApplyReply;
 use hibiscusbarrow_model::state::ApplyRequest;
 use hibiscusbarrow_model::state::Status;
@@ -21,7 +21,7 @@
 use std::time::Instant;
 
 /// The configuration that the demonstration applies.
-const CONFIG: &str = include_str!("../../../examples/covoyage/config.jsonc");
+const CONFIG: &str = include_str!("../../examples/covoyage/config.jsonc");
 /// The requests that the demonstration sends.
 const REQUESTS: usize = 200;
 /// The longest wait for any step.
@@ -32,7 +32,17 @@
     let svg = args
         .svg
         .unwrap_or_else(|| PathBuf::from("demo.timeline.svg"));
-    let mut system = Embedded::start()?;
+    let plan = Plan {
+        gateways: 3,
+        sidecars: 10,
+        workers: 10,
+        timing: Timing {
+            probe_ms: 500,
+            tick_ms: 200,
+            ..Timing::default()
+        },
+    };
+    let mut system = Embedded::start(plan)?;
     println!(
         "started 3 gateways, 10 sidecars, 10 upstreams, 10 workers and a store in one process"
     );
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,7 +4,7 @@
 mod bench;
 mod cancel;
 mod check;
-mod client;
+pub mod client;
 mod demo;
 mod diff;
 mod gateway;
--- a/src/cmd/demo/embedded.rs
+++ b/src/embedded.rs
@@ -1,6 +1,6 @@
 //! Runs every role and stand-in on threads of one process.
 
-use super::super::client;
+use crate::cmd::client;
 use anyhow::Context;
 use anyhow::Result;
 use anyhow::anyhow;
@@ -18,49 +18,72 @@
 use hibiscusbarrow_standin::worker;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::thread::JoinHandle;
+use std::time::Duration;
+
+/// Says how many of each kind of process to run.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Gateways.
+    pub gateways: u16,
+    /// Sidecars, each with an upstream.
+    pub sidecars: u16,
+    /// Workers of eight accelerators, three to a rack.
+    pub workers: u16,
+    /// Durations of all daemons.
+    pub timing: Timing,
+}
 
-const GATEWAYS: u16 = 3;
-const SIDECARS: u16 = 10;
-const WORKERS: u16 = 10;
 /// The first port of each kind of process.
 const STORE_PORT: u16 = 21_000;
 const GATEWAY_PORT: u16 = 21_100;
-const SIDECAR_PORT: u16 = 21_200;
-const UPSTREAM_PORT: u16 = 21_300;
-const WORKER_PORT: u16 = 21_400;
-const PEER_OFFSET: u16 = 1_000;
+const SIDECAR_PORT: u16 = 22_000;
+const UPSTREAM_PORT: u16 = 23_000;
+const WORKER_PORT: u16 = 24_000;
+/// The distance between the ports for HTTP and for peers.
+const PEER_OFFSET: u16 = 4_000;
 /// The failure domains of the demonstration.
 const DOMAINS: [&str; 3] = ["qc-montreal", "qc-capitale", "qc-saguenay"];
 
 struct Task {
     stop: oneshot::Sender<()>,
     thread: JoinHandle<Result<()>>,
+    /// The thread's number, under which the kernel accounts for it.
+    id: u32,
 }
 
 /// Holds the threads of the system, in the order in which they stop.
 pub struct Embedded {
     /// Where the gateways serve HTTP.
     pub gateways: Vec<SocketAddr>,
+    /// Where the sidecars serve HTTP.
+    pub sidecars: Vec<SocketAddr>,
+    /// Where the upstreams listen.
+    pub upstream_addrs: Vec<SocketAddr>,
+    /// Where the store listens.
+    pub store: SocketAddr,
     upstreams: Vec<Option<Task>>,
     daemons: Vec<Task>,
     outside: Vec<Task>,
 }
 
 impl Embedded {
-    /// Starts every process of a small deployment.
-    pub fn start() -> Result<Self> {
+    /// Starts every process of a deployment.
+    pub fn start(plan: Plan) -> Result<Self> {
         let ip = own_ip();
         let addr = |port| SocketAddr::from((ip, port));
-        let workers: Vec<SocketAddr> = (0..WORKERS).map(|i| addr(WORKER_PORT + i)).collect();
+        let workers: Vec<SocketAddr> = (0..plan.workers).map(|i| addr(WORKER_PORT + i)).collect();
         let mut outside = vec![start_store(addr(STORE_PORT))?];
         for (i, worker) in workers.iter().enumerate() {
             outside.push(start_worker(*worker, i)?);
         }
         let mut daemons = Vec::new();
-        for i in 0..GATEWAYS {
+        for i in 0..plan.gateways {
             let settings = settings("gateway", i, addr(GATEWAY_PORT + i), addr(STORE_PORT));
             let settings = Settings {
+                timing: plan.timing,
                 workers: workers.clone(),
                 ..settings
             };
@@ -69,8 +92,12 @@
             })?);
         }
         let mut upstreams = Vec::new();
-        for i in 0..SIDECARS {
+        for i in 0..plan.sidecars {
             let settings = settings("sidecar", i, addr(SIDECAR_PORT + i), addr(STORE_PORT));
+            let settings = Settings {
+                timing: plan.timing,
+                ..settings
+            };
             daemons.push(start(move |stop| async move {
                 hibiscusbarrow_roles::sidecar::run(settings, log::silent(), stop).await
             })?);
@@ -80,13 +107,26 @@
             )?));
         }
         Ok(Self {
-            gateways: (0..GATEWAYS).map(|i| addr(GATEWAY_PORT + i)).collect(),
+            gateways: (0..plan.gateways).map(|i| addr(GATEWAY_PORT + i)).collect(),
+            sidecars: (0..plan.sidecars).map(|i| addr(SIDECAR_PORT + i)).collect(),
+            upstream_addrs: (0..plan.sidecars)
+                .map(|i| addr(UPSTREAM_PORT + i))
+                .collect(),
+            store: addr(STORE_PORT),
             upstreams,
             daemons,
             outside,
         })
     }
 
+    /// Returns the processor time that each daemon has used, gateways first.
+    pub fn daemon_times(&self) -> Vec<Duration> {
+        self.daemons
+            .iter()
+            .map(|task| thread_time(task.id))
+            .collect()
+    }
+
     /// Has one upstream leave, and waits until it has.
     pub fn drain_upstream(&mut self, index: usize) -> Result<()> {
         let task = self.upstreams[index].take().context("the upstream runs")?;
@@ -103,10 +143,12 @@
     }
 }
 
-/// Returns a loopback address that is this process's own.
+/// Returns a loopback address that no other system of any process uses.
 fn own_ip() -> Ipv4Addr {
+    static STARTED: AtomicU8 = AtomicU8::new(0);
     let [_, _, high, low] = std::process::id().to_be_bytes();
-    Ipv4Addr::new(127, 201 + high % 50, low, 1)
+    let number = STARTED.fetch_add(1, Ordering::Relaxed);
+    Ipv4Addr::new(127, 201 + high % 50, low, 1 + number % 250)
 }
 
 fn settings(role: &str, i: u16, http: SocketAddr, store: SocketAddr) -> Settings {
@@ -122,11 +164,7 @@
         workers: Vec::new(),
         seeds: Vec::new(),
         log: LogFormat::Terminal,
-        timing: Timing {
-            probe_ms: 500,
-            tick_ms: 200,
-            ..Timing::default()
-        },
+        timing: Timing::default(),
     }
 }
 
@@ -175,7 +213,9 @@
     F: Future<Output = Result<()>>,
 {
     let (stop, stopped) = oneshot::channel();
+    let (number, numbered) = std::sync::mpsc::channel();
     let thread = std::thread::Builder::new().spawn(move || {
+        let _ = number.send(thread_id());
         client::block_on(async {
             let flag = Flag::default();
             let raised = flag.clone();
@@ -187,7 +227,24 @@
             run(flag).await
         })
     })?;
-    Ok(Task { stop, thread })
+    let id = numbered.recv().unwrap_or(0);
+    Ok(Task { stop, thread, id })
+}
+
+/// Returns the kernel's number of the present thread.
+fn thread_id() -> u32 {
+    let link = std::fs::read_link("/proc/thread-self").unwrap_or_default();
+    let name = link.file_name().and_then(|n| n.to_str());
+    name.and_then(|n| n.parse().ok()).unwrap_or(0)
+}
+
+/// Returns the processor time that a thread has used.
+fn thread_time(id: u32) -> Duration {
+    let text = std::fs::read_to_string(format!("/proc/self/task/{id}/schedstat"));
+    let first = text
+        .ok()
+        .and_then(|t| t.split_whitespace().next()?.parse().ok());
+    Duration::from_nanos(first.unwrap_or(0))
 }
 
 fn finish(task: Task) -> Result<()> {
--- a/src/main.rs
+++ b/src/main.rs
@@ -2,6 +2,7 @@
 
 mod cli;
 mod cmd;
+mod embedded;
 mod output;
 
 use std::process::ExitCode;
