Measure slopes with one command; introduce members without a flood

Found by it: after many members start at once, every member passed on every news that it had got by way of introduction, so that 100 members sent 1,118 bytes/s each a minute later. Introductions are now marked and not passed on. Ruled out: views that stay apart (at 100 members all were complete and equal). Tests: the 28 of the coordination crate pass.

--- a/crates/coordination/src/membership/message.rs
+++ b/crates/coordination/src/membership/message.rs
@@ -96,6 +96,8 @@
     Join,
     /// Only carries news.
     Tell,
+    /// Introduces known members to a newcomer, who need not pass them on.
+    Members,
 }
 
 /// Is sent as one datagram.
--- a/crates/coordination/src/membership/swim.rs
+++ b/crates/coordination/src/membership/swim.rs
@@ -244,8 +244,11 @@
 
     /// Takes in a message that came from `addr`.
     pub fn receive(&mut self, addr: SocketAddr, message: Message, now: Duration) -> Vec<Output> {
+        let fresh = message.payload != Payload::Members;
         for news in message.news {
-            self.learn(news, now);
+            if self.learn(&news, now) && fresh {
+                self.spread(news.name);
+            }
         }
         self.note_header(addr, &message.header);
         match message.payload {
@@ -258,7 +261,7 @@
                 self.send(target, Payload::Ping { seq: ours });
             }
             Payload::Join => self.introduce(addr),
-            Payload::Tell => {}
+            Payload::Tell | Payload::Members => {}
         }
         std::mem::take(&mut self.outputs)
     }
@@ -319,20 +322,21 @@
         for chunk in all.chunks(MAX_NEWS - 1) {
             let mut news = vec![self.me.clone()];
             news.extend_from_slice(chunk);
-            self.send_news(addr, Payload::Tell, news);
+            self.send_news(addr, Payload::Members, news);
         }
     }
 
-    fn learn(&mut self, news: News, now: Duration) {
+    /// Takes news in; returns whether it was newer than what was known.
+    fn learn(&mut self, news: &News, now: Duration) -> bool {
         if news.name == self.me.name {
-            self.object(&news);
-            return;
+            self.object(news);
+            return false;
         }
         let held = self.members.get(&news.name);
         let newer = held
             .is_none_or(|m| (news.incarnation, news.state) > (m.news.incarnation, m.news.state));
         if !newer || (held.is_none() && news.state == State::Dead) {
-            return;
+            return false;
         }
         let generation = held
             .filter(|m| m.news.info.life == news.info.life)
@@ -341,13 +345,13 @@
         if held.is_none_or(|m| m.news.state != news.state || m.news.info != news.info) {
             self.outputs.push(Output::Change(change));
         }
-        self.spread(news.name.clone());
         let member = Member {
-            news,
+            news: news.clone(),
             generation,
             since: now,
         };
         self.members.insert(member.news.name.clone(), member);
+        true
     }
 
     /// Overrides what others wrongly say of this process.
@@ -452,7 +456,14 @@
                 State::Leaving => State::Dead,
                 _ => State::Suspect,
             };
-            self.learn(news, now);
+            self.conclude(news, now);
+        }
+    }
+
+    /// Takes in and spreads what this process found out itself.
+    fn conclude(&mut self, news: News, now: Duration) {
+        if self.learn(&news, now) {
+            self.spread(news.name);
         }
     }
 
@@ -470,7 +481,7 @@
             })
             .collect();
         for news in dead {
-            self.learn(news, now);
+            self.conclude(news, now);
         }
         let keep = self.timing.period * TOMBSTONE_PERIODS;
         self.members
--- a/src/cmd/bench/daemons.rs
+++ b/src/cmd/bench/daemons.rs
@@ -1,4 +1,177 @@
+//! Idle daemons at rising numbers, over loopback sockets on threads.
+
 use super::table::Table;
-pub fn measure() -> anyhow::Result<Vec<Table>> {
-    Ok(vec![])
+use super::table::resident;
+use crate::cmd::apply;
+use crate::cmd::client;
+use crate::embedded::Embedded;
+use crate::embedded::Plan;
+use anyhow::Result;
+use anyhow::ensure;
+use hibiscusbarrow_adapters::http::HttpClient;
+use hibiscusbarrow_model::settings::Timing;
+use hibiscusbarrow_model::state::ApplyRequest;
+use hibiscusbarrow_model::state::Status;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+/// The numbers of sidecars, each with an upstream.
+const SIZES: [u16; 4] = [4, 10, 30, 100];
+const GATEWAYS: u16 = 3;
+/// The time over which idle daemons are watched.
+const WINDOW: Duration = Duration::from_secs(10);
+/// The longest wait for members or generations.
+const PATIENCE: Duration = Duration::from_secs(120);
+
+/// Measures processor time, memory, control traffic and store calls.
+pub fn measure() -> Result<Vec<Table>> {
+    let mut table = Table::slope(
+        "Idle daemons by sidecars",
+        &[
+            "sidecars",
+            "sidecar cpu %",
+            "gateway cpu %",
+            "sidecar bytes/s",
+            "gateway bytes/s",
+            "store calls/s",
+            "MB a daemon",
+            "generation everywhere s",
+        ],
+    );
+    for size in SIZES {
+        table.push(measure_size(size)?);
+    }
+    Ok(vec![table])
+}
+
+fn measure_size(size: u16) -> Result<Vec<f64>> {
+    let before = resident();
+    let system = Embedded::start(Plan {
+        gateways: GATEWAYS,
+        sidecars: size,
+        workers: 1,
+        timing: Timing::default(),
+    })?;
+    client::block_on(await_members(&system, size))?;
+    let daemons = f64::from(size + GATEWAYS);
+    let memory = (resident() - before).max(0.0) / daemons / 1e6;
+    let first = Sample::take(&system)?;
+    std::thread::sleep(WINDOW);
+    let second = Sample::take(&system)?;
+    let spread = client::block_on(spread(&system))?;
+    system.stop()?;
+    let seconds = WINDOW.as_secs_f64();
+    let gateways = usize::from(GATEWAYS);
+    let cpu = second.cpu_since(&first);
+    let bytes = second.bytes_since(&first);
+    let mean = |v: &[f64]| v.iter().sum::<f64>() / v.len() as f64 / seconds;
+    Ok(vec![
+        f64::from(size),
+        100.0 * mean(&cpu[gateways..]),
+        100.0 * mean(&cpu[..gateways]),
+        mean(&bytes[gateways..]),
+        mean(&bytes[..gateways]),
+        (second.calls - first.calls) / seconds,
+        memory,
+        spread,
+    ])
+}
+
+async fn await_members(system: &Embedded, size: u16) -> Result<()> {
+    let began = Instant::now();
+    for gateway in &system.gateways {
+        loop {
+            let status = client::get::<Status>(*gateway, "/v1/status").await;
+            let known = status.map_or(0, |s| {
+                s.members.iter().filter(|m| !m.service.is_empty()).count()
+            });
+            if known == usize::from(size) {
+                break;
+            }
+            ensure!(
+                began.elapsed() < PATIENCE,
+                "{gateway} knows {known} of {size} sidecars"
+            );
+            compio::time::sleep(Duration::from_millis(100)).await;
+        }
+    }
+    compio::time::sleep(Duration::from_secs(15)).await;
+    Ok(())
+}
+
+/// Returns the seconds until an accepted configuration is in force everywhere.
+async fn spread(system: &Embedded) -> Result<f64> {
+    let request = ApplyRequest {
+        file: "bench".into(),
+        text: r#"{ "accounts": [{ "name": "a" }] }"#.into(),
+        base: None,
+        operator: "bench".into(),
+        operation: apply::operation().into(),
+    };
+    let began = Instant::now();
+    let reply = apply::send(system.gateways[0], &request).await?;
+    for addr in system.gateways.iter().chain(&system.sidecars) {
+        while client::get::<Status>(*addr, "/v1/status").await?.generation < reply.generation {
+            ensure!(
+                began.elapsed() < PATIENCE,
+                "{addr} does not reach the generation"
+            );
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
+    Ok(began.elapsed().as_secs_f64())
+}
+
+struct Sample {
+    cpu: Vec<Duration>,
+    bytes: Vec<f64>,
+    calls: f64,
+}
+
+impl Sample {
+    fn take(system: &Embedded) -> Result<Self> {
+        let cpu = system.daemon_times();
+        let (bytes, calls) = client::block_on(async {
+            let mut bytes = Vec::new();
+            for addr in system.gateways.iter().chain(&system.sidecars) {
+                bytes.push(control_bytes(*addr).await?);
+            }
+            let counters: BTreeMap<String, f64> =
+                client::get(system.store, "/standin/counters").await?;
+            Ok((bytes, counters.values().sum()))
+        })?;
+        Ok(Self { cpu, bytes, calls })
+    }
+
+    fn cpu_since(&self, first: &Self) -> Vec<f64> {
+        let pairs = self.cpu.iter().zip(&first.cpu);
+        pairs.map(|(b, a)| (*b - *a).as_secs_f64()).collect()
+    }
+
+    fn bytes_since(&self, first: &Self) -> Vec<f64> {
+        self.bytes
+            .iter()
+            .zip(&first.bytes)
+            .map(|(b, a)| b - a)
+            .collect()
+    }
+}
+
+/// Returns the control bytes that a daemon has sent.
+async fn control_bytes(addr: SocketAddr) -> Result<f64> {
+    let request = http::Request::get("/metrics").header("host", "bench");
+    let request = request.body(bytes::Bytes::new())?;
+    let client = HttpClient::default();
+    let reply = client
+        .call(addr, request, Duration::from_secs(5), 1 << 20)
+        .await?;
+    let text = String::from_utf8_lossy(reply.body()).into_owned();
+    let lines = text
+        .lines()
+        .filter(|l| l.starts_with("control_bytes_total") && l.contains("_out"));
+    Ok(lines
+        .filter_map(|l| l.rsplit(' ').next()?.parse::<f64>().ok())
+        .sum())
 }
--- a/src/cmd/bench/gossip.rs
+++ b/src/cmd/bench/gossip.rs
@@ -1,4 +1,202 @@
+//! Gossip at rising numbers of members, on a virtual clock without sockets.
+
 use super::table::Table;
-pub fn measure() -> anyhow::Result<Vec<Table>> {
-    Ok(vec![])
+use anyhow::Result;
+use hibiscusbarrow_adapters::gossip::Seal;
+use hibiscusbarrow_coordination::membership::*;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+/// The numbers of members.
+const SIZES: [usize; 5] = [10, 30, 100, 300, 1000];
+/// The gateways among them.
+const GATEWAYS: usize = 10;
+const PERIOD: Duration = Duration::from_secs(1);
+/// The time between ticks of a member.
+const TICK: Duration = Duration::from_millis(200);
+/// The time in which members get to know one another.
+const WARM_UP: Duration = Duration::from_secs(60);
+/// The time over which traffic is counted.
+const WINDOW: Duration = Duration::from_secs(30);
+/// The longest wait for news to reach everyone.
+const PATIENCE: Duration = Duration::from_secs(300);
+
+/// Measures traffic, processor time and the spread of news.
+pub fn measure() -> Result<Vec<Table>> {
+    let mut table = Table::slope(
+        "Gossip by members",
+        &[
+            "members",
+            "bytes/s out",
+            "messages/s out",
+            "cpu us/s",
+            "generation s",
+            "leave s",
+            "death s",
+            "state KB",
+        ],
+    );
+    for size in SIZES {
+        table.push(measure_size(size));
+    }
+    Ok(vec![table])
+}
+
+struct Net {
+    now: Duration,
+    nodes: Vec<Swim>,
+    silent: Option<usize>,
+    packets: Vec<(usize, SocketAddr, Message)>,
+    generations: Vec<u64>,
+    seal: Seal,
+    bytes: usize,
+    messages: usize,
+}
+
+fn addr(index: usize) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 10_000 + index as u16))
+}
+
+impl Net {
+    fn new(size: usize) -> Self {
+        let timing = SwimTiming {
+            period: PERIOD,
+            timeout: PERIOD / 2,
+        };
+        let node = |i: usize| {
+            let info = Info {
+                role: if i < GATEWAYS {
+                    Role::Gateway
+                } else {
+                    Role::Sidecar
+                },
+                region: "quebec".into(),
+                addr: addr(i),
+                http: addr(i),
+                life: 1_796_374_103_957,
+                service: "jumelage".into(),
+                slots: 8,
+            };
+            Swim::new(format!("sidecar-montreal-{i}"), info, timing, i as u64)
+        };
+        let mut net = Self {
+            now: Duration::ZERO,
+            nodes: (0..size).map(node).collect(),
+            silent: None,
+            packets: Vec::new(),
+            generations: vec![0; size],
+            seal: Seal::new("a secret for measurements"),
+            bytes: 0,
+            messages: 0,
+        };
+        for i in 1..size {
+            let outputs = net.nodes[i].join([addr(0)]);
+            net.act(i, outputs);
+        }
+        net
+    }
+
+    fn act(&mut self, from: usize, outputs: Vec<Output>) {
+        for output in outputs {
+            match output {
+                Output::Send(to, message) => {
+                    self.bytes += self.seal.seal(message.clone()).len();
+                    self.messages += 1;
+                    self.packets.push((from, to, message));
+                }
+                Output::Change(Change::Generation(_, generation)) => {
+                    self.generations[from] = generation;
+                    self.nodes[from].set_generation(generation);
+                }
+                Output::Change(_) => {}
+            }
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += TICK;
+        let now = self.now;
+        for i in 0..self.nodes.len() {
+            if self.silent != Some(i) {
+                let outputs = self.nodes[i].tick(now);
+                self.act(i, outputs);
+            }
+        }
+        for _ in 0..2 {
+            for (from, to, message) in std::mem::take(&mut self.packets) {
+                let target = usize::from(to.port()) - 10_000;
+                if self.silent != Some(target) {
+                    let outputs = self.nodes[target].receive(addr(from), message, now);
+                    self.act(target, outputs);
+                }
+            }
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Returns the seconds until a condition holds.
+    fn until(&mut self, holds: impl Fn(&Self) -> bool) -> f64 {
+        let began = self.now;
+        while !holds(self) && self.now < began + PATIENCE {
+            self.step();
+        }
+        (self.now - began).as_secs_f64()
+    }
+
+    fn see(&self, observers: std::ops::Range<usize>, subject: usize, state: State) -> bool {
+        let name = &self.nodes[subject].me().name;
+        let sees = |i: usize| {
+            let member = self.nodes[i].member(name);
+            i == subject || member.is_some_and(|m| m.news.state == state)
+        };
+        observers.into_iter().all(sees)
+    }
+}
+
+fn measure_size(size: usize) -> Vec<f64> {
+    let before = super::table::resident();
+    let mut net = Net::new(size);
+    net.run(WARM_UP);
+    let state = (super::table::resident() - before).max(0.0) / size as f64 / 1e3;
+    (net.bytes, net.messages) = (0, 0);
+    let began = Instant::now();
+    net.run(WINDOW);
+    let node_seconds = WINDOW.as_secs_f64() * size as f64;
+    let cpu = began.elapsed().as_secs_f64() * 1e6 / node_seconds;
+    let (bytes, messages) = (
+        net.bytes as f64 / node_seconds,
+        net.messages as f64 / node_seconds,
+    );
+
+    net.nodes[0].set_generation(9);
+    net.generations[0] = 9;
+    let outputs = net.nodes[0].tell();
+    net.act(0, outputs);
+    let generation = net.until(|n| n.generations.iter().all(|g| *g == 9));
+
+    let leaver = size - 1;
+    let outputs = net.nodes[leaver].leave();
+    net.act(leaver, outputs);
+    let gateways = GATEWAYS.min(size - 2);
+    let leave = net.until(|n| n.see(0..gateways, leaver, State::Leaving));
+
+    net.silent = Some(size - 2);
+    let death = net.until(|n| n.see(0..gateways, size - 2, State::Dead));
+    vec![
+        size as f64,
+        bytes,
+        messages,
+        cpu,
+        generation,
+        leave,
+        death,
+        state,
+    ]
 }
--- a/src/cmd/bench/placer.rs
+++ b/src/cmd/bench/placer.rs
@@ -1,4 +1,208 @@
+//! The placer at rising numbers of workers, over loopback sockets on threads.
+
 use super::table::Table;
-pub fn measure() -> anyhow::Result<Vec<Table>> {
-    Ok(vec![])
+use super::table::percentile;
+use super::table::resident;
+use crate::cmd::apply;
+use crate::cmd::client;
+use crate::embedded::Embedded;
+use crate::embedded::Plan;
+use anyhow::Result;
+use anyhow::ensure;
+use hibiscusbarrow_model::job::JobView;
+use hibiscusbarrow_model::order::*;
+use hibiscusbarrow_model::settings::Timing;
+use hibiscusbarrow_model::state::ApplyRequest;
+use hibiscusbarrow_model::state::Status;
+use serde_json::json;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+/// The numbers of workers.
+const SIZES: [u16; 4] = [10, 50, 150, 300];
+/// The time over which the placer is watched.
+const WINDOW: Duration = Duration::from_secs(10);
+/// The urgent jobs that are timed at each size.
+const URGENT: usize = 20;
+/// The longest wait for anything.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// The bytes of an HTTP request's or reply's head between placer and worker.
+const HEAD: usize = 130;
+
+/// Measures the placer's processor time, messages and starts of urgent work.
+pub fn measure() -> Result<Vec<Table>> {
+    let mut table = Table::slope(
+        "Placer by workers",
+        &[
+            "workers",
+            "cpu %",
+            "cpu % with a gang on each",
+            "worker bytes/s",
+            "urgent start p50 ms",
+            "urgent start max ms",
+            "takeover s",
+            "MB",
+        ],
+    );
+    for size in SIZES {
+        table.push(measure_size(size)?);
+    }
+    Ok(vec![table])
+}
+
+fn measure_size(size: u16) -> Result<Vec<f64>> {
+    let before = resident();
+    let system = Embedded::start(Plan {
+        gateways: 1,
+        sidecars: 0,
+        workers: size,
+        timing: Timing::default(),
+    })?;
+    let gateway = system.gateways[0];
+    let began = Instant::now();
+    client::block_on(await_status(gateway, |s| {
+        s.placer
+            .as_ref()
+            .is_some_and(|p| p.workers == usize::from(size))
+    }))?;
+    let takeover = began.elapsed().as_secs_f64();
+    let memory = (resident() - before) / 1e6;
+    client::block_on(apply_accounts(gateway))?;
+    let idle = watch(&system);
+    client::block_on(submit(gateway, "fill", "b", size - 1, 600_000, false))?;
+    let busy = watch(&system);
+    let mut starts = client::block_on(urgent_starts(gateway))?;
+    system.stop()?;
+    let tick = Timing::default().tick_ms as f64 / 1e3;
+    Ok(vec![
+        f64::from(size),
+        idle,
+        busy,
+        f64::from(size) * message_bytes() / tick,
+        percentile(&mut starts, 0.5),
+        percentile(&mut starts, 1.0),
+        takeover,
+        memory,
+    ])
+}
+
+/// Returns the bytes of one batch and its report for a worker with one running gang.
+///
+/// A renewal adds a hold and a run to one batch in four at the default timing.
+fn message_bytes() -> f64 {
+    let batch = OrderBatch {
+        epoch: 123_456,
+        orders: Vec::new(),
+    };
+    let gang = GangReport {
+        gang: "rescore-0001~1".into(),
+        seq: 100,
+        accelerators: vec![0],
+        state: MemberState::Running,
+    };
+    let report = WorkerReport {
+        worker: "worker-montreal-0001".into(),
+        incarnation: 1_796_374_103_957,
+        rack: "rack-0001".into(),
+        domain: "qc-montreal".into(),
+        accelerators: 1,
+        epoch: 123_456,
+        gangs: vec![gang],
+    };
+    let reply = OrderReply {
+        results: Vec::new(),
+        report,
+    };
+    let size = |v: serde_json::Result<Vec<u8>>| v.map_or(0, |b| b.len() + HEAD);
+    (size(serde_json::to_vec(&batch)) + size(serde_json::to_vec(&reply))) as f64
+}
+
+/// Returns the share of a core that the gateway uses, in percent.
+fn watch(system: &Embedded) -> f64 {
+    let first = system.daemon_times()[0];
+    std::thread::sleep(WINDOW);
+    let used = system.daemon_times()[0] - first;
+    100.0 * used.as_secs_f64() / WINDOW.as_secs_f64()
+}
+
+async fn await_status(gateway: SocketAddr, holds: impl Fn(&Status) -> bool) -> Result<()> {
+    let began = Instant::now();
+    while !client::get::<Status>(gateway, "/v1/status")
+        .await
+        .is_ok_and(|s| holds(&s))
+    {
+        ensure!(began.elapsed() < PATIENCE, "the placer does not get ready");
+        compio::time::sleep(Duration::from_millis(50)).await;
+    }
+    Ok(())
+}
+
+async fn apply_accounts(gateway: SocketAddr) -> Result<()> {
+    let request = ApplyRequest {
+        file: "bench".into(),
+        text: r#"{ "accounts": [
+            { "name": "a", "quota": [{ "shape": "worker", "count": 1 }] }, { "name": "b" }
+        ] }"#
+            .into(),
+        base: None,
+        operator: "bench".into(),
+        operation: apply::operation().into(),
+    };
+    apply::send(gateway, &request).await?;
+    Ok(())
+}
+
+async fn submit(
+    gateway: SocketAddr,
+    name: &str,
+    account: &str,
+    count: u16,
+    runtime_ms: u64,
+    urgent: bool,
+) -> Result<()> {
+    // A gang has at most 512 accelerators, so a larger fill is split.
+    let mut left = count;
+    let mut part = 0;
+    while left > 0 {
+        let members = left.min(64);
+        let spec = json!({
+            "name": if part == 0 { name.to_owned() } else { format!("{name}-{part}") },
+            "account": account, "shape": "worker", "count": members,
+            "runtime_ms": runtime_ms, "urgent": urgent,
+        });
+        let _: JobView = client::call(gateway, http::Method::POST, "/v1/jobs", Some(&spec)).await?;
+        left -= members;
+        part += 1;
+    }
+    Ok(())
+}
+
+/// Returns the milliseconds from submission to the start of urgent claims, of
+/// which every other has to preempt.
+async fn urgent_starts(gateway: SocketAddr) -> Result<Vec<f64>> {
+    let mut times = Vec::new();
+    for i in 0..URGENT {
+        let name = format!("urgent-{i}");
+        let began = Instant::now();
+        submit(gateway, &name, "a", 1, 600_000, true).await?;
+        loop {
+            let job: JobView = client::get(gateway, &format!("/v1/jobs/{name}")).await?;
+            if job.state == "running" {
+                break;
+            }
+            ensure!(
+                began.elapsed() < PATIENCE,
+                "{name} is {}: {}",
+                job.state,
+                job.reason
+            );
+            compio::time::sleep(Duration::from_millis(5)).await;
+        }
+        times.push(began.elapsed().as_secs_f64() * 1e3);
+        let path = format!("/v1/jobs/{name}");
+        let _: JobView = client::call(gateway, http::Method::DELETE, &path, None::<&()>).await?;
+        compio::time::sleep(Duration::from_millis(300)).await;
+    }
+    Ok(times)
 }
--- a/src/cmd/bench/workload.rs
+++ b/src/cmd/bench/workload.rs
@@ -308,12 +308,11 @@
                 }
             }
             Event::Cancel(i) => {
-                if let Some(key) = self.scheduler.key(&format!("j{i}")) {
-                    if self.jobs[i].done.is_none() {
-                        self.open -= 1;
-                        self.jobs[i].done = Some(Duration::MAX);
-                        self.scheduler.cancel(key);
-                    }
+                let key = self.scheduler.key(&format!("j{i}"));
+                if let Some(key) = key.filter(|_| self.jobs[i].done.is_none()) {
+                    self.open -= 1;
+                    self.jobs[i].done = Some(Duration::MAX);
+                    self.scheduler.cancel(key);
                 }
             }
             Event::Fail(w) => {
