--- a/crates/model/src/job.rs
+++ b/crates/model/src/job.rs
@@ -62,6 +62,9 @@
     pub phase: Phase,
     /// Milliseconds since the Unix epoch at acceptance.
     pub accepted: u64,
+    /// Milliseconds since the Unix epoch at the end; 0 before.
+    #[serde(default)]
+    pub ended: u64,
     /// How many times a gang was started.
     #[serde(default)]
     pub attempts: u32,
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -69,6 +69,8 @@
     pub tick_ms: u64,
     /// The longest wait for work in flight at a planned stop.
     pub drain_ms: u64,
+    /// The time for which the store remembers jobs that have ended.
+    pub keep_ms: u64,
 }
 
 impl Default for Timing {
@@ -80,6 +82,7 @@
             hold_ms: 30_000,
             tick_ms: 5_000,
             drain_ms: 60_000,
+            keep_ms: 86_400_000,
         }
     }
 }
@@ -143,6 +146,7 @@
             ("hold_ms", self.hold_ms, 500, 600_000),
             ("tick_ms", self.tick_ms, 50, 60_000),
             ("drain_ms", self.drain_ms, 0, 3_600_000),
+            ("keep_ms", self.keep_ms, 1_000, 31_536_000_000),
         ] {
             if !(min..=max).contains(&value) {
                 let detail = format!("{value} lies outside {min} to {max}");
--- a/crates/roles/src/gateway/jobs.rs
+++ b/crates/roles/src/gateway/jobs.rs
@@ -33,6 +33,7 @@
             spec,
             phase: Phase::Accepted,
             accepted: self.node.clock.wall_ms(),
+            ended: 0,
             attempts: 0,
             workers: Vec::new(),
         };
@@ -143,6 +144,7 @@
                 Phase::Cancelled => return Ok(view(&record, "cancelled", "")),
                 Phase::Accepted => record.phase = Phase::Cancelled,
             }
+            record.ended = self.node.clock.wall_ms();
             let request = TxnRequest {
                 compare: vec![Compare::unchanged(&key, entry.mod_revision)],
                 success: vec![RequestOp::put(&key, &record, 0)],
--- a/crates/roles/src/placer/mod.rs
+++ b/crates/roles/src/placer/mod.rs
@@ -5,9 +5,13 @@
 
 mod election;
 mod gangs;
+mod leading;
+mod placing;
 mod rebuild;
 mod records;
+mod reports;
 mod task;
+mod view;
 mod workers;
 
 use crate::node::Node;
--- /dev/null
+++ b/crates/roles/src/placer/placing.rs
@@ -0,0 +1,226 @@
+//! Places jobs: decisions, starts, stops and the orders that they need.
+
+use super::gangs::Gang;
+use super::gangs::gang_name;
+use super::gangs::parts_of;
+use super::records;
+use super::records::Known;
+use super::task::Ask;
+use super::task::Task;
+use super::workers;
+use super::workers::Sent;
+use hibiscusbarrow_coordination::gang::GangRun;
+use hibiscusbarrow_model::event::Event;
+use hibiscusbarrow_model::order::Order;
+use hibiscusbarrow_placement::Cell;
+use hibiscusbarrow_placement::Decision;
+use hibiscusbarrow_placement::JobKey;
+use hibiscusbarrow_placement::JobState;
+use smol_str::SmolStr;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// The reports that a worker may miss before it counts as lost.
+const MISSED_REPORTS: u32 = 3;
+/// The shortest silence after which a worker counts as lost.
+const MIN_SILENCE: Duration = Duration::from_secs(2);
+/// The time between passes over the queue when nothing happens.
+const IDLE_PASS: Duration = Duration::from_secs(1);
+
+impl Task {
+    pub(super) fn find_lost(&mut self, now: Duration) {
+        let every = Duration::from_millis(self.node.settings.timing.tick_ms);
+        let silence = (every * MISSED_REPORTS).max(MIN_SILENCE);
+        for link in 0..self.links.len() {
+            let state = &self.links[link];
+            let lost = state.up && state.seen.is_some_and(|seen| now >= seen + silence);
+            if lost {
+                self.lose_worker(link);
+            }
+        }
+    }
+
+    pub(super) fn lose_worker(&mut self, link: usize) {
+        let state = &mut self.links[link];
+        state.up = false;
+        self.node
+            .log
+            .note(Event::WorkerLost, state.name.clone(), "");
+        if let Some(key) = state.key {
+            self.scheduler.fail_worker(key);
+        }
+        self.dirty = true;
+    }
+
+    pub(super) fn decide(&mut self, now: Duration) {
+        if !self.dirty && now < self.passed + IDLE_PASS {
+            return;
+        }
+        if !self.election.lease.is_held(now) {
+            return;
+        }
+        self.dirty = false;
+        self.passed = now;
+        for decision in self.scheduler.pass(now) {
+            match decision {
+                Decision::Start {
+                    job,
+                    cells,
+                    guaranteed,
+                } => self.prepare(job, cells, guaranteed),
+                Decision::Stop { job, reason } => self.stop_gang(job, reason),
+            }
+        }
+    }
+
+    /// Writes down that a gang is about to start; it starts once that is stored.
+    pub(super) fn prepare(&mut self, key: JobKey, cells: Vec<Cell>, guaranteed: bool) {
+        let Some(name) = self.scheduler.job(key).map(|j| j.name.clone()) else {
+            return;
+        };
+        let Some(known) = self.records.get(&name) else {
+            return;
+        };
+        let mut record = known.record.clone();
+        record.attempts += 1;
+        record.workers = self.worker_names(&cells);
+        self.starting.insert(name, (key, cells, guaranteed));
+        records::replace(self.node.clone(), self.asks.clone(), record, known.revision);
+    }
+
+    pub(super) fn worker_names(&self, cells: &[Cell]) -> Vec<SmolStr> {
+        let mut names: Vec<SmolStr> = cells
+            .iter()
+            .map(|c| self.scheduler.grid().spec(c.worker).name.clone())
+            .collect();
+        names.sort();
+        names.dedup();
+        names
+    }
+
+    pub(super) fn hear_stored(&mut self, name: SmolStr, known: Option<Known>, now: Duration) {
+        if let Some(known) = &known {
+            self.records.insert(name.clone(), known.clone());
+        } else {
+            records::fetch(self.node.clone(), self.asks.clone(), name.clone());
+        }
+        if let Some((key, cells, guaranteed)) = self.starting.remove(&name) {
+            match known {
+                Some(known) => self.start_gang(key, &cells, guaranteed, &known),
+                None => self.scheduler.abandon(key),
+            }
+            self.dirty = true;
+            return;
+        }
+        self.note_end(&name, known.is_some(), now);
+    }
+
+    pub(super) fn start_gang(
+        &mut self,
+        key: JobKey,
+        cells: &[Cell],
+        guaranteed: bool,
+        known: &Known,
+    ) {
+        let Some(job) = self
+            .scheduler
+            .job(key)
+            .filter(|j| j.state == JobState::Placed)
+        else {
+            self.scheduler.released(key);
+            return;
+        };
+        let name = job.name.clone();
+        let parts = parts_of(cells, |c| self.by_worker.get(&c.worker).copied());
+        let Some(parts) = parts else {
+            return self.scheduler.abandon(key);
+        };
+        let spec = &known.record.spec;
+        let detail = format!(
+            "guaranteed {guaranteed} on {}",
+            known.record.workers.join(" ")
+        );
+        self.node.log.note_for(
+            Event::JobHolding,
+            name.clone(),
+            spec.account.clone(),
+            detail,
+        );
+        let gang = Gang {
+            name: gang_name(&name, known.record.attempts),
+            job: name,
+            account: spec.account.clone(),
+            run: GangRun::new(parts.len(), self.timing),
+            parts,
+            work: Duration::from_millis(spec.runtime_ms),
+            hold: self.timing.hold,
+            ending: false,
+            started: false,
+        };
+        self.gangs.insert(key, gang);
+    }
+
+    pub(super) fn stop_gang(&mut self, key: JobKey, reason: &'static str) {
+        let Some(gang) = self.gangs.get_mut(&key) else {
+            let starting = self.starting.values().any(|(k, _, _)| *k == key);
+            if !starting {
+                self.scheduler.released(key);
+                self.dirty = true;
+            }
+            return;
+        };
+        gang.run.stop();
+        let event = match reason {
+            "finished" => Event::JobFinished,
+            "cancelled" => Event::JobCancelled,
+            "worker lost" | "member failed" => Event::JobRequeued,
+            _ => Event::JobPreempted,
+        };
+        let (job, account) = (gang.job.clone(), gang.account.clone());
+        self.node.log.note_for(event, job, account, reason);
+    }
+
+    pub(super) fn send_orders(&mut self, now: Duration) {
+        let mut batches: HashMap<usize, Vec<Sent>> = HashMap::new();
+        for (job, gang) in &mut self.gangs {
+            for (member, command) in gang.run.poll(now) {
+                let sent = Sent {
+                    job: *job,
+                    member,
+                    command,
+                };
+                batches
+                    .entry(gang.parts[member].link)
+                    .or_default()
+                    .push(sent);
+            }
+        }
+        let every = Duration::from_millis(self.node.settings.timing.tick_ms);
+        for link in 0..self.links.len() {
+            let sent = batches.remove(&link).unwrap_or_default();
+            let state = &self.links[link];
+            let due = state.wants_report(now, every) || !state.orphans.is_empty();
+            if state.is_free(now) && (due || !sent.is_empty()) {
+                self.send_batch(link, sent, now);
+            }
+        }
+    }
+
+    pub(super) fn send_batch(&mut self, link: usize, sent: Vec<Sent>, now: Duration) {
+        let order = |s: &Sent| self.gangs[&s.job].order(s.member, s.command);
+        let mut orders: Vec<Order> = sent.iter().map(order).collect();
+        let state = &mut self.links[link];
+        for gang in state.orphans.drain(..) {
+            orders.push(Order::Release { gang });
+        }
+        state.busy = true;
+        state.sent = Some(now);
+        let (addr, epoch) = (state.addr, self.epoch);
+        let (http, asks) = (self.node.http.clone(), self.asks.clone());
+        compio::runtime::spawn(async move {
+            let reply = workers::send(http, addr, epoch, orders).await;
+            let _ = asks.unbounded_send(Ask::Reply(link, sent, reply));
+        })
+        .detach();
+    }
+}
--- a/crates/roles/src/placer/records.rs
+++ b/crates/roles/src/placer/records.rs
@@ -68,6 +68,7 @@
             spec,
             phase: Phase::Accepted,
             accepted: node.clock.wall_ms(),
+            ended: 0,
             attempts: 0,
             workers: Vec::new(),
         };
@@ -83,6 +84,23 @@
     .detach();
 }
 
+/// Deletes a record if it is unchanged and tells the task if that was done.
+pub(super) fn remove(node: Rc<Node>, asks: mpsc::UnboundedSender<Ask>, known: &Known) {
+    let (name, revision) = (known.record.spec.name.clone(), known.revision);
+    compio::runtime::spawn(async move {
+        let key = job_key(&node, &name);
+        let request = TxnRequest {
+            compare: vec![Compare::unchanged(&key, revision)],
+            success: vec![RequestOp::delete(&key)],
+            failure: vec![],
+        };
+        if node.store.txn(&request).await.is_ok_and(|r| r.succeeded) {
+            let _ = asks.unbounded_send(Ask::Removed(name, revision));
+        }
+    })
+    .detach();
+}
+
 /// Replaces a record if it is unchanged and tells the task how that ended.
 pub(super) fn replace(
     node: Rc<Node>,
--- /dev/null
+++ b/crates/roles/src/placer/view.rs
@@ -0,0 +1,93 @@
+//! Answers operators: checks of guarantees and views of the region.
+
+use super::records::Known;
+use super::task::Stage;
+use super::task::Task;
+use hibiscusbarrow_model::code::Code;
+use hibiscusbarrow_model::code::Fault;
+use hibiscusbarrow_model::job::JobView;
+use hibiscusbarrow_model::job::Phase;
+use hibiscusbarrow_model::state::PlacerView;
+use hibiscusbarrow_placement::AccountSpec;
+use hibiscusbarrow_placement::JobState;
+use hibiscusbarrow_placement::QuotaError;
+use hibiscusbarrow_placement::WorkerKey;
+use smol_str::SmolStr;
+
+impl Task {
+    pub(super) fn check(&self, accounts: Vec<AccountSpec>) -> Result<(), Fault> {
+        if self.stage != Stage::Serving {
+            return Err(Fault::new(
+                Code::NotPlacer,
+                "the placer has not taken over yet",
+            ));
+        }
+        self.scheduler.check_accounts(accounts).map_err(|e| {
+            let code = match e {
+                QuotaError::Shrinks { .. } => Code::QuotaShrinks,
+                QuotaError::Unfit(_) | QuotaError::NotYet(_) => Code::QuotaUnfit,
+            };
+            Fault::new(code, e.to_string())
+        })
+    }
+
+    pub(super) fn view(&self) -> PlacerView {
+        let grid = self.scheduler.grid();
+        let up: Vec<WorkerKey> = grid.workers().filter(|w| grid.is_up(*w)).collect();
+        let used = up.iter().map(|w| grid.used_mask(*w).count_ones()).sum();
+        let accelerators = up.iter().map(|w| grid.present_mask(*w).count_ones()).sum();
+        let live = self
+            .records
+            .values()
+            .filter(|k| k.record.phase == Phase::Accepted);
+        let mut jobs: Vec<JobView> = live.map(|k| self.job_view(k)).collect();
+        jobs.sort_by(|a, b| a.spec.name.cmp(&b.spec.name));
+        PlacerView {
+            epoch: self.epoch,
+            workers: up.len(),
+            accelerators,
+            used,
+            shortfall: self.scheduler.quotas().shortfall(grid).into(),
+            jobs,
+        }
+    }
+
+    pub(super) fn job_view(&self, known: &Known) -> JobView {
+        let spec = known.record.spec.clone();
+        let mut view = JobView {
+            state: "waiting".into(),
+            reason: SmolStr::default(),
+            guaranteed: false,
+            workers: Vec::new(),
+            spec,
+        };
+        let Some(key) = self.scheduler.key(&view.spec.name) else {
+            view.reason = self
+                .doubt(&known.record)
+                .unwrap_or_else(|| "not queued yet".into());
+            return view;
+        };
+        let Some(job) = self.scheduler.job(key) else {
+            return view;
+        };
+        view.guaranteed = job.guaranteed;
+        view.workers = self.worker_names(&job.cells);
+        match &job.state {
+            JobState::Parked(reason) => {
+                view.state = "parked".into();
+                view.reason = reason.clone();
+            }
+            JobState::Waiting => view.reason = self.scheduler.why_waiting(key).into(),
+            JobState::Claimed => view.reason = "borrowers are being preempted for it".into(),
+            JobState::Stopping => {
+                view.state = "stopping".into();
+                view.reason = "its gang is being stopped".into();
+            }
+            JobState::Placed => {
+                let started = self.gangs.get(&key).is_some_and(|g| g.started);
+                view.state = if started { "running" } else { "holding" }.into();
+            }
+        }
+        view
+    }
+}
--- a/tests/testsuite/cluster.rs
+++ b/tests/testsuite/cluster.rs
@@ -41,6 +41,7 @@
     gateways: usize,
     sidecars: usize,
     workers: usize,
+    keep_ms: u64,
 }
 
 impl Plan {
@@ -50,9 +51,16 @@
             gateways: 2,
             sidecars: 2,
             workers: 2,
+            keep_ms: 3_600_000,
         }
     }
 
+    /// Sets the time for which ended jobs are remembered.
+    pub fn keep_ms(mut self, time: u64) -> Self {
+        self.keep_ms = time;
+        self
+    }
+
     /// Sets the number of gateways.
     pub fn gateways(mut self, count: usize) -> Self {
         self.gateways = count;
@@ -96,6 +104,7 @@
             dir,
             ip: own_ip(number),
             next_port: FIRST_PORT,
+            keep_ms: self.keep_ms,
             processes: BTreeMap::new(),
             addrs: BTreeMap::new(),
         };
@@ -117,6 +126,7 @@
     /// The cluster's own loopback address, so that no two share a port.
     ip: Ipv4Addr,
     next_port: u16,
+    keep_ms: u64,
     processes: BTreeMap<String, Process>,
     addrs: BTreeMap<String, SocketAddr>,
 }
@@ -194,7 +204,7 @@
             "secret": "a secret for tests only", "workers": workers,
             "timing": {
                 "probe_ms": 200, "poll_ms": 200, "lease_ms": 1500, "hold_ms": 3000,
-                "tick_ms": 200, "drain_ms": 30_000,
+                "tick_ms": 200, "drain_ms": 30_000, "keep_ms": self.keep_ms,
             },
         });
         let path = self.dir.join(format!("{name}.jsonc"));
--- a/tests/testsuite/jobs.rs
+++ b/tests/testsuite/jobs.rs
@@ -281,3 +281,22 @@
         cluster.wait_job(&format!("small-{i}"), "done");
     }
 }
+
+#[test]
+fn ended_job_is_forgotten_after_its_time_and_a_named_one_is_not() {
+    let cluster = Plan::small().keep_ms(1000).start();
+    let job = r#"{ "name": "plan", "account": "agence-a", "shape": "quad" }"#;
+    cluster.apply(&CONFIG.replace("\"services\"", &format!("\"jobs\": [{job}], \"services\"")));
+    cluster.wait_job("plan", "done");
+    submit(&cluster, "rescore", 1, 100);
+    cluster.wait_job("rescore", "done");
+
+    cluster.wait("the job to be forgotten", || {
+        cluster.job("rescore").is_none()
+    });
+
+    assert_eq!(
+        cluster.job("plan").expect("it is still named").state,
+        "done"
+    );
+}
