Have every urgent claim of the placer's benchmark preempt

Cause: the benchmark left one worker idle, so urgent claims were timed without any preemption, though its text said otherwise. The filling gangs now take every worker.

--- a/src/cmd/bench/placer.rs
+++ b/src/cmd/bench/placer.rs
@@ -70,7 +70,7 @@
     let memory = (resident() - before) / 1e6;
     client::block_on(apply_accounts(gateway))?;
     let idle = watch(&system);
-    client::block_on(submit(gateway, "fill", "b", size - 1, 600_000, false))?;
+    client::block_on(submit(gateway, "fill", "b", size, 600_000, false))?;
     let busy = watch(&system);
     let mut starts = client::block_on(urgent_starts(gateway))?;
     system.stop()?;
@@ -178,8 +178,8 @@
     Ok(())
 }
 
-/// Returns the milliseconds from submission to the start of urgent claims, of
-/// which every other has to preempt.
+/// Returns the milliseconds from submission to the start of urgent claims, each of
+/// which preempts a gang of up to 64 workers.
 async fn urgent_starts(gateway: SocketAddr) -> Result<Vec<f64>> {
     let mut times = Vec::new();
     for i in 0..URGENT {
--- a/tests/testsuite/jobs.rs
+++ b/tests/testsuite/jobs.rs
@@ -300,3 +300,25 @@
         "done"
     );
 }
+
+#[test]
+fn gang_with_a_frozen_worker_stops_whole_and_runs_again_elsewhere() {
+    let cluster = Plan::small().workers(3).start();
+    cluster.apply(CONFIG);
+    submit(&cluster, "rescore", 2, 4000);
+    cluster.wait_job("rescore", "running");
+    let frozen = cluster.job("rescore").expect("it is known").workers[0].to_string();
+
+    cluster.signal(&frozen, "-STOP");
+    cluster.wait("a second attempt", || {
+        let others = (0..3).filter(|w| format!("worker-{w}") != frozen);
+        let again = others.filter(|w| cluster.starts(*w).contains_key("rescore~2"));
+        again.count() == 2
+    });
+    cluster.signal(&frozen, "-CONT");
+    cluster.wait_job("rescore", "done");
+
+    for worker in 0..3 {
+        assert!(cluster.starts(worker).values().all(|count| *count == 1));
+    }
+}
--- a/tests/testsuite/path.rs
+++ b/tests/testsuite/path.rs
@@ -130,3 +130,28 @@
     assert_eq!(counts["most"], 8);
     assert_eq!(counts["total"], 40);
 }
+
+#[test]
+fn timeline_merges_the_events_of_all_processes_in_one_order() {
+    let cluster = Plan::small().start();
+    cluster.apply(CONFIG);
+    let answer = cluster.ask(cluster.addr("gateway-1"), &[], "solo rider");
+    let svg = cluster.write("timeline.svg", "");
+
+    let json = cluster.operate("timeline", &["--json", "--svg", &svg]);
+    let text = cluster.operate("timeline", &["--subject", &answer.id]);
+
+    let records: Vec<serde_json::Value> = serde_json::from_str(&json).expect("it is JSON");
+    let times: Vec<u64> = records.iter().filter_map(|r| r["at"].as_u64()).collect();
+    assert!(times.is_sorted());
+    for process in ["gateway-0", "gateway-1", "sidecar-0", "sidecar-1"] {
+        assert!(
+            records.iter().any(|r| r["process"] == process),
+            "{process} is missing"
+        );
+    }
+    assert_eq!(text.lines().count(), 2, "{text}");
+    assert!(text.contains("E1301") && text.contains("E1302"), "{text}");
+    let picture = std::fs::read_to_string(svg).expect("it was written");
+    assert!(picture.contains("<svg") && picture.contains("gateway-0"));
+}
