Name the families of events in the picture of the time line

Cause: rows were labelled half a row off their marks and colours had no key, seen in a rendering of the demonstration's picture. Marks now stand on their labels, fine grid lines are gone and a legend names the ten families.

--- a/src/cmd/timeline.rs
+++ b/src/cmd/timeline.rs
@@ -19,6 +19,12 @@
 /// The height of title and axis together, in pixels.
 const FRAME: u32 = 110;
 
+/// The families of events, by the hundreds of their numbers.
+const FAMILIES: [&str; 10] = [
+    "process", "member", "upstream", "request", "config", "placer", "job", "worker", "store",
+    "peer",
+];
+
 /// Merges events, filters them and prints or draws them.
 pub fn execute(args: cli::Timeline) -> Result<()> {
     let mut records = match args.gateway {
@@ -134,22 +140,35 @@
         .margin(10)
         .x_label_area_size(40)
         .y_label_area_size(110)
-        .build_cartesian_2d(0.0..end * 1.02, 0.0..rows as f64)?;
+        .build_cartesian_2d(0.0..end * 1.15, -0.5..rows as f64 - 0.5)?;
     chart
         .configure_mesh()
         .x_desc("seconds")
+        .max_light_lines(0)
         .y_labels(rows + 1)
         .y_label_formatter(&|y| {
             let name = processes.get(*y as usize).filter(|_| y.fract() == 0.0);
             name.map(ToString::to_string).unwrap_or_default()
         })
         .draw()?;
-    chart.draw_series(records.iter().map(|r| {
-        let row = processes.iter().position(|p| *p == r.process).unwrap_or(0);
-        let at = (r.at - origin) as f64 / 1000.0;
-        let family = usize::from(r.event.number() / 100 % 10);
-        Circle::new((at, row as f64 + 0.5), 3, Palette99::pick(family).filled())
-    }))?;
+    for (family, name) in FAMILIES.iter().enumerate() {
+        let colour = Palette99::pick(family).to_rgba();
+        let of_family = |r: &&Record| usize::from(r.event.number() / 100 % 10) == family;
+        let marks = records.iter().filter(of_family).map(|r| {
+            let row = processes.iter().position(|p| *p == r.process).unwrap_or(0);
+            let at = (r.at - origin) as f64 / 1000.0;
+            Circle::new((at, row as f64), 3, colour.filled())
+        });
+        chart
+            .draw_series(marks)?
+            .label(*name)
+            .legend(move |(x, y)| Circle::new((x + 7, y), 3, colour.filled()));
+    }
+    let legend = chart
+        .configure_series_labels()
+        .background_style(WHITE)
+        .draw();
+    legend?;
     area.present()
         .with_context(|| format!("writing {}", path.display()))?;
     Ok(())
