Send one member of the comparison's union; answer for a key a full hour

Cause, found by reading the whole change again: a comparison was sent with both mod_revision and create_revision, which are members of one union in the published protocol, so that a real service's JSON gateway would refuse it; the stand-in reads both. And claims were attached to a lease of one hour that up to ten minutes of claims share, so a key could run again 50 minutes after its first request, while the guide promises an hour; a lease that the store no longer knows was used on for ten minutes. Change: zero revisions are left out; the lease lives an hour and the time for which it is shared, and is asked for anew after a refusal. Ruled out: attaching each claim to a lease of its own (a grant for each key).

--- a/crates/adapters/src/store/wire.rs
+++ b/crates/adapters/src/store/wire.rs
@@ -59,6 +59,10 @@
     }
 }
 
+fn is_zero(value: &i64) -> bool {
+    *value == 0
+}
+
 /// Stands at the head of each response.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default)]
@@ -131,11 +135,13 @@
     pub target: String,
     /// The key.
     pub key: String,
-    /// The revision compared with for `MOD`.
-    #[serde(with = "int")]
+    /// The revision compared with for `MOD`; left out if 0.
+    #[serde(skip_serializing_if = "is_zero", with = "int")]
     pub mod_revision: i64,
-    /// The revision compared with for `CREATE`.
-    #[serde(with = "int")]
+    /// The revision compared with for `CREATE`; left out if 0.
+    ///
+    /// Both revisions are members of one union, so at most one may be sent.
+    #[serde(skip_serializing_if = "is_zero", with = "int")]
     pub create_revision: i64,
 }
 
--- a/crates/roles/src/gateway/claim.rs
+++ b/crates/roles/src/gateway/claim.rs
@@ -24,7 +24,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The life of the lease that claims are attached to.
+/// The time for which a key is answered for; its claim lives at least as long.
 const CLAIM_LIFE: Duration = Duration::from_secs(3600);
 /// The time for which new claims share one lease.
 const LEASE_SHARED: Duration = Duration::from_secs(600);
@@ -49,7 +49,7 @@
         if id != 0 && now < until {
             return Ok(id);
         }
-        let id = self.node.store.grant(CLAIM_LIFE).await?;
+        let id = self.node.store.grant(CLAIM_LIFE + LEASE_SHARED).await?;
         self.lease.set((id, now + LEASE_SHARED));
         Ok(id)
     }
@@ -75,7 +75,10 @@
             }
             Ok(reply) => reply.found().cloned(),
             Err(StoreError::Unknown(_)) => self.node.store.get(key).await?,
-            Err(e) => return Err(e),
+            Err(e) => {
+                self.lease.set((0, Duration::ZERO));
+                return Err(e);
+            }
         };
         owner(found, record).ok_or_else(|| StoreError::Unknown("the claim is not there".into()))
     }
