--- a/crates/adapters/src/log/mod.rs
+++ b/crates/adapters/src/log/mod.rs
@@ -20,7 +20,7 @@
 pub fn logger(format: LogFormat) -> Logger {
     match format {
         LogFormat::Json => {
-            let drain = slog_json::Json::default(std::io::stderr()).fuse();
+            let drain = slog_json::Json::default(std::io::stdout()).fuse();
             Logger::root(slog_async::Async::new(drain).build().fuse(), o!())
         }
         LogFormat::Terminal => {
--- a/crates/adapters/src/signal.rs
+++ b/crates/adapters/src/signal.rs
@@ -5,9 +5,14 @@
 use futures_util::future::Shared;
 use std::cell::RefCell;
 use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 /// The signal that asks a process to stop as planned.
 pub const SIGTERM: i32 = 15;
+/// The signal that asks a process to read its settings again.
+pub const SIGHUP: i32 = 1;
 /// The signal of an interrupt from the keyboard.
 pub const SIGINT: i32 = 2;
 
@@ -47,6 +52,17 @@
     }
 }
 
+/// Returns a closure that tells whether the process was asked to read its settings again.
+///
+/// The handler stays registered until the process ends.
+pub fn reload_requests() -> impl Fn() -> bool {
+    let raised = Arc::new(AtomicBool::new(false));
+    if let Err(e) = signal_hook::flag::register(SIGHUP, raised.clone()) {
+        eprintln!("hibiscusbarrow: cannot handle signal {SIGHUP}: {e}");
+    }
+    move || raised.swap(false, Ordering::Relaxed)
+}
+
 /// Waits until the process is asked to stop.
 pub async fn termination() {
     let term = Box::pin(compio::signal::unix::signal(SIGTERM));
--- a/crates/coordination/src/clock.rs
+++ b/crates/coordination/src/clock.rs
@@ -1,11 +1,18 @@
 //! The clock as an interface.
 
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
 use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 use std::time::SystemTime;
 
+/// Returns the time since the machine started, its suspensions included.
+fn boot_time() -> Duration {
+    let time = clock_gettime(ClockId::Boottime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
 /// Reads a monotonic clock and a wall clock through closures.
 #[derive(Clone)]
 pub struct Clock {
@@ -16,9 +23,9 @@
 impl Clock {
     /// Returns the clock of the machine.
     pub fn system() -> Self {
-        let origin = Instant::now();
+        let origin = boot_time();
         Self {
-            monotonic: Rc::new(move || origin.elapsed()),
+            monotonic: Rc::new(move || boot_time().saturating_sub(origin)),
             wall: Rc::new(|| {
                 let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
                 since.unwrap_or_default()
--- /dev/null
+++ b/crates/fleet/src/ledger/ends.rs
@@ -0,0 +1,188 @@
+//! Taking in how runs end.
+
+use super::Decision;
+use super::Effect;
+use super::Ledger;
+use super::Phase;
+use super::TaskKey;
+use super::task_id;
+use crate::worker::End;
+use crate::worker::Ended;
+use crate::worker::Order;
+use smol_str::SmolStr;
+use std::time::Duration;
+
+impl Ledger {
+    pub(super) fn take_end(&mut self, node: &SmolStr, ended: &Ended, now: Duration) {
+        let id = &ended.task.job;
+        let key = (ended.task.round, ended.task.step, ended.task.index);
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        if key.1 as usize >= entry.record.job.steps.len() {
+            return;
+        }
+        let account = entry.record.job.account.clone();
+        let progress = entry.record.find(key.0, key.1, key.2);
+        let newest = progress.is_some_and(|p| p.run == ended.run && !p.done);
+        let here = match entry.runs.get(&key) {
+            Some(run) => run.number == ended.run && run.node == *node,
+            None => newest && ended.end == End::Done,
+        };
+        if !newest || !here {
+            return;
+        }
+        let detail = format!(
+            "task={key:?} run={} worker={node} end={:?} number={}",
+            ended.run, ended.end, ended.number
+        );
+        entry.runs.remove(&key);
+        let lasting = entry.step(key).lasting;
+        let gang = entry.step(key).gang;
+        self.note(Decision::Ended, id, &account, detail);
+        self.keep_checkpoint(id, key, &ended.checkpoint);
+        self.judge(node, id, ended.end, now);
+        match ended.end {
+            End::Done if !lasting => self.finish_task(id, key, gang, now),
+            End::Failed if !lasting => self.count_failure(id, key, ended.run, node, now),
+            _ => {}
+        }
+        self.clear_place(id, key);
+        if gang && ended.end != End::Done {
+            self.break_gang(id, key, now);
+        }
+        self.touch(id);
+    }
+
+    /// Remembers the newest checkpoint of a task, or of its whole gang.
+    pub(super) fn keep_checkpoint(&mut self, id: &str, key: TaskKey, checkpoint: &SmolStr) {
+        if checkpoint.is_empty() {
+            return;
+        }
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let index = if entry.step(key).gang { 0 } else { key.2 };
+        entry.record.task(key.0, key.1, index).checkpoint = checkpoint.clone();
+    }
+
+    fn clear_place(&mut self, id: &str, key: TaskKey) {
+        if let Some(entry) = self.jobs.get_mut(id) {
+            entry.record.task(key.0, key.1, key.2).place = None;
+        }
+    }
+
+    fn finish_task(&mut self, id: &SmolStr, key: TaskKey, gang: bool, now: Duration) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let members = if gang {
+            0..entry.step(key).count
+        } else {
+            key.2..key.2 + 1
+        };
+        for index in members {
+            let member = (key.0, key.1, index);
+            let progress = entry.record.task(key.0, key.1, index);
+            progress.done = true;
+            progress.place = None;
+            progress.checkpoint = SmolStr::default();
+            entry.runs.remove(&member);
+        }
+        if entry.record.is_over() {
+            self.close(id, now);
+        }
+    }
+
+    fn count_failure(
+        &mut self,
+        id: &SmolStr,
+        key: TaskKey,
+        number: u64,
+        node: &SmolStr,
+        now: Duration,
+    ) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        entry.avoided.insert(node.clone());
+        let gang = entry.step(key).gang;
+        if gang && !entry.counted.insert((key.0, key.1, number)) {
+            return;
+        }
+        let index = if gang { 0 } else { key.2 };
+        let progress = entry.record.task(key.0, key.1, index);
+        progress.failures += 1;
+        if progress.failures >= entry.record.job.attempts.max(1) && !entry.record.is_over() {
+            entry.record.failed = true;
+            self.close(id, now);
+        }
+    }
+
+    /// Stops the other members of a gang that lost one.
+    pub(super) fn break_gang(&mut self, id: &SmolStr, key: TaskKey, now: Duration) {
+        let Some(entry) = self.jobs.get(id) else {
+            return;
+        };
+        let of_step = |k: &&TaskKey| (k.0, k.1) == (key.0, key.1);
+        let members: Vec<TaskKey> = entry.runs.keys().filter(of_step).copied().collect();
+        for member in members {
+            self.stop_run(id, member, "gang broken", now);
+        }
+    }
+
+    /// Ends a run that is known to be gone without a listed end.
+    pub(super) fn lose(&mut self, id: &SmolStr, key: TaskKey, why: &str, now: Duration) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let Some(run) = entry.runs.remove(&key) else {
+            return;
+        };
+        let account = entry.record.job.account.clone();
+        let gang = entry.step(key).gang;
+        let detail = format!(
+            "task={key:?} run={} worker={} phase={:?}: {why}",
+            run.number, run.node, run.phase
+        );
+        self.note(Decision::Lost, id, &account, detail);
+        self.keep_checkpoint(id, key, &run.checkpoint);
+        self.clear_place(id, key);
+        if gang {
+            self.break_gang(id, key, now);
+        }
+        self.touch(id);
+    }
+
+    /// Decides that a run is to stop.
+    pub(super) fn stop_run(&mut self, id: &SmolStr, key: TaskKey, why: &str, now: Duration) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let account = entry.record.job.account.clone();
+        let Some(run) = entry.runs.get_mut(&key) else {
+            return;
+        };
+        match run.phase {
+            Phase::Stopping => return,
+            Phase::Planned => {
+                self.lose(id, key, why, now);
+                return;
+            }
+            _ => {}
+        }
+        run.enter(Phase::Stopping, now);
+        run.stopped = Some(now);
+        let detail = format!("task={key:?} run={} worker={}: {why}", run.number, run.node);
+        let effect = Effect::Send {
+            node: run.node.clone(),
+            boot: run.boot.clone(),
+            order: Order::Stop {
+                task: task_id(id, key),
+                run: run.number,
+            },
+        };
+        self.effects.push(effect);
+        self.note(Decision::Stopped, id, &account, detail);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/ledger/fit.rs
@@ -0,0 +1,194 @@
+//! Finding workers for tasks.
+
+use super::Entry;
+use super::Ledger;
+use super::Phase;
+use super::TaskKey;
+use super::need;
+use crate::job::Step;
+use crate::worker::Boot;
+use crate::worker::Room;
+use smol_str::SmolStr;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+/// A worker that was not heard for this long gets no work.
+const FRESH: Duration = Duration::from_millis(2_600);
+
+/// Holds the room of one worker while a plan is made.
+#[derive(Clone, Debug)]
+pub(super) struct Slot {
+    pub(super) node: SmolStr,
+    pub(super) boot: Boot,
+    pub(super) rack: SmolStr,
+    labels: Vec<SmolStr>,
+    service: SmolStr,
+    suspect: bool,
+    pub(super) total: Room,
+    pub(super) free: Room,
+    /// Room of runs that are being stopped.
+    pub(super) freeing: Room,
+    /// Whether the room is kept for a task that waits for it.
+    pub(super) kept: bool,
+}
+
+/// Describes tasks of one step that may start together.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) struct Candidate {
+    /// Lower classes come first.
+    pub(super) class: u32,
+    /// When the job was accepted, in milliseconds since the Unix epoch.
+    pub(super) accepted: u64,
+    pub(super) job: SmolStr,
+    pub(super) round: u32,
+    pub(super) step: u32,
+    pub(super) indices: Vec<u32>,
+    /// How long the step has been ready.
+    pub(super) waited: Duration,
+}
+
+/// Enumerates where tasks may go.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(super) enum Area {
+    /// On any worker.
+    Any,
+    /// On the workers of one rack.
+    Rack(SmolStr),
+}
+
+impl Ledger {
+    /// Returns the room of every worker that may get work.
+    pub(super) fn slots(&self, now: Duration) -> Vec<Slot> {
+        let mut slots = Vec::new();
+        for (node, worker) in &self.workers {
+            let (Some(announced), Some(boot)) = (&worker.announced, &worker.boot) else {
+                continue;
+            };
+            let fresh = worker.heard.is_some_and(|at| now < at + FRESH);
+            if announced.draining || !fresh || !worker.health.is_sound(now) {
+                continue;
+            }
+            slots.push(Slot {
+                node: node.clone(),
+                boot: boot.clone(),
+                rack: worker.rack.clone(),
+                labels: announced.labels.clone(),
+                service: announced.service.clone(),
+                suspect: worker.health.is_suspect(),
+                total: worker.room(),
+                free: worker.room(),
+                freeing: Room::default(),
+                kept: false,
+            });
+        }
+        for entry in self.jobs.values() {
+            for (key, run) in &entry.runs {
+                let slot = slots.iter_mut().find(|s| s.node == run.node);
+                if let Some(slot) = slot {
+                    let taken = need(entry.step(*key));
+                    slot.free.take(&taken);
+                    if run.phase == Phase::Stopping {
+                        slot.freeing.give(&taken);
+                    }
+                }
+            }
+        }
+        slots
+    }
+
+    /// Tells whether a worker may run a step at all, whatever its room.
+    pub(super) fn suits(&self, entry: &Entry, candidate: &Candidate, slot: &Slot) -> bool {
+        let step = &entry.record.job.steps[candidate.step as usize];
+        slot.service == entry.record.job.service
+            && (step.label.is_empty() || slot.labels.contains(&step.label))
+            && self
+                .ticket(&candidate.job, candidate.round, candidate.step, &slot.boot.id)
+                .is_some()
+    }
+
+    /// Finds a worker for each task, or for as many as fit outside of gangs.
+    pub(super) fn fit(
+        &self,
+        candidate: &Candidate,
+        slots: &mut [Slot],
+        area: &Area,
+    ) -> Vec<(u32, usize)> {
+        let Some(entry) = self.jobs.get(&candidate.job) else {
+            return Vec::new();
+        };
+        let step = &entry.record.job.steps[candidate.step as usize];
+        let taken = need(step);
+        let mut placed: Vec<(u32, usize)> = Vec::new();
+        for index in &candidate.indices {
+            let open = |(at, slot): &(usize, &Slot)| {
+                !slot.kept
+                    && slot.free.holds(&taken)
+                    && in_area(slot, area)
+                    && self.suits(entry, candidate, slot)
+                    && room_beside(entry, candidate, step, slot, *at, &placed)
+            };
+            let best = slots.iter().enumerate().filter(open);
+            let best = best.min_by_key(|(at, slot)| rank(entry, step, slot, *at, &placed));
+            let Some(at) = best.map(|(at, _)| at) else {
+                break;
+            };
+            slots[at].free.take(&taken);
+            placed.push((*index, at));
+        }
+        if step.gang && placed.len() < candidate.indices.len() {
+            for (_, at) in placed.drain(..) {
+                slots[at].free.give(&taken);
+            }
+        }
+        placed
+    }
+
+    /// Returns the racks that have a worker which suits a step.
+    pub(super) fn racks(&self, candidate: &Candidate, slots: &[Slot]) -> BTreeSet<SmolStr> {
+        let Some(entry) = self.jobs.get(&candidate.job) else {
+            return BTreeSet::new();
+        };
+        let suitable = slots.iter().filter(|s| self.suits(entry, candidate, s));
+        suitable.map(|s| s.rack.clone()).collect()
+    }
+}
+
+pub(super) fn in_area(slot: &Slot, area: &Area) -> bool {
+    match area {
+        Area::Any => true,
+        Area::Rack(rack) => slot.rack == *rack,
+    }
+}
+
+/// Tells whether the limit of tasks of one step on one worker allows another.
+pub(super) fn room_beside(
+    entry: &Entry,
+    candidate: &Candidate,
+    step: &Step,
+    slot: &Slot,
+    at: usize,
+    placed: &[(u32, usize)],
+) -> bool {
+    if step.spread == 0 {
+        return true;
+    }
+    let same = |key: &TaskKey| (key.0, key.1) == (candidate.round, candidate.step);
+    let running = entry.runs.iter();
+    let there = running.filter(|(k, r)| same(k) && r.node == slot.node).count();
+    let here = placed.iter().filter(|(_, p)| *p == at).count();
+    ((there + here) as u64) < step.spread
+}
+
+/// Ranks a worker for a task: near its data, sound, and tightly filled.
+fn rank(
+    entry: &Entry,
+    step: &Step,
+    slot: &Slot,
+    at: usize,
+    placed: &[(u32, usize)],
+) -> (bool, bool, bool, u64, u64, usize) {
+    let far = !step.rack.is_empty() && slot.rack != step.rack;
+    let bad = slot.suspect || entry.avoided.contains(&slot.node);
+    let apart = step.gang && !placed.is_empty() && !placed.iter().any(|(_, p)| *p == at);
+    (far, bad, apart, slot.free.gpus, slot.free.memory, at)
+}
--- /dev/null
+++ b/crates/fleet/src/ledger/listing.rs
@@ -0,0 +1,276 @@
+//! Taking in what workers list.
+
+use super::Decision;
+use super::Effect;
+use super::Ledger;
+use super::Phase;
+use super::TaskKey;
+use super::task_id;
+use crate::worker::Announcement;
+use crate::worker::Boot;
+use crate::worker::Ended;
+use crate::worker::Listing;
+use crate::worker::Order;
+use crate::worker::Running;
+use smol_str::SmolStr;
+use std::collections::HashSet;
+use std::time::Duration;
+
+/// The prefix of the label that names a rack.
+const RACK: char = 'r';
+/// The pause between two stops of the same run.
+const STOP_AGAIN: Duration = Duration::from_millis(400);
+
+impl Ledger {
+    /// Takes in a listing that was asked for at `sent`.
+    pub fn listed(
+        &mut self,
+        node: &SmolStr,
+        sent: Duration,
+        now: Duration,
+        announced: Announcement,
+        listing: Listing,
+    ) {
+        let boot = Boot {
+            id: announced.boot.id.clone(),
+            born: listing.born,
+        };
+        if announced.boot.born != listing.born || !self.workers.contains_key(node) {
+            return;
+        }
+        self.meet(node, &boot, now);
+        let draining = announced.draining;
+        let Some(worker) = self.workers.get_mut(node) else {
+            return;
+        };
+        let was = worker.announced.as_ref().is_some_and(|a| a.draining);
+        worker.heard = Some(now);
+        worker.clock = Some((listing.clock, now));
+        worker.rack = rack(&announced.labels);
+        worker.announced = Some(announced);
+        if draining && !was {
+            self.note(Decision::WorkerDraining, node, "", format!("boot={}", boot.id));
+        }
+        self.take_ends(node, &listing.ended, now);
+        let listed = self.take_running(node, &boot, &listing.running, now);
+        self.find_vanished(node, &listed, sent, now);
+        self.adjust_pace(node, now);
+    }
+
+    /// Takes in which life of a worker answers.
+    fn meet(&mut self, node: &SmolStr, boot: &Boot, now: Duration) {
+        let Some(worker) = self.workers.get_mut(node) else {
+            return;
+        };
+        if worker.boot.as_ref() == Some(boot) {
+            return;
+        }
+        let before = worker.boot.replace(boot.clone());
+        worker.processed = 0;
+        worker.seen = 0;
+        worker.pending.clear();
+        worker.strays.clear();
+        worker.health = super::health::Health::default();
+        let detail = format!("boot={} born={} before={before:?}", boot.id, boot.born);
+        self.note(Decision::WorkerSeen, node, "", detail);
+        for (id, key, phase) in self.runs_on(node, |r| r.boot != *boot) {
+            if matches!(phase, Phase::Live | Phase::Stopping) && !self.may_arrive(&id, key) {
+                self.lose(&id, key, "the worker started again", now);
+                continue;
+            }
+            let run = self.jobs.get_mut(&id).and_then(|e| e.runs.get_mut(&key));
+            if let Some(run) = run.filter(|r| r.phase != Phase::Planned) {
+                run.barred = None;
+                run.stopped = None;
+                run.silent = true;
+                run.phase = Phase::Doubt;
+            }
+        }
+    }
+
+    fn may_arrive(&self, id: &SmolStr, key: TaskKey) -> bool {
+        let run = self.jobs.get(id).and_then(|e| e.runs.get(&key));
+        run.is_some_and(|r| r.silent)
+    }
+
+    /// Returns the runs on a worker that fulfil a condition.
+    pub(super) fn runs_on(
+        &self,
+        node: &str,
+        wanted: impl Fn(&super::Run) -> bool,
+    ) -> Vec<(SmolStr, TaskKey, Phase)> {
+        let mut found = Vec::new();
+        for (id, entry) in &self.jobs {
+            for (key, run) in &entry.runs {
+                if run.node == node && wanted(run) {
+                    found.push((id.clone(), *key, run.phase));
+                }
+            }
+        }
+        found
+    }
+
+    fn take_ends(&mut self, node: &SmolStr, ended: &[Ended], now: Duration) {
+        let mut needs = Vec::new();
+        let mut newest = 0;
+        for end in ended {
+            let processed = self.workers.get(node).map_or(0, |w| w.processed);
+            if end.number <= processed {
+                continue;
+            }
+            newest = end.number;
+            self.take_end(node, end, now);
+            if let Some(entry) = self.jobs.get(&end.task.job) {
+                needs.push((end.task.job.clone(), entry.changed));
+            }
+            if let Some(worker) = self.workers.get_mut(node) {
+                worker.processed = end.number;
+            }
+        }
+        let Some(worker) = self.workers.get_mut(node) else {
+            return;
+        };
+        if newest > 0 {
+            worker.pending.push((newest, needs));
+        }
+        self.committed(&super::Batch::default(), 0, now);
+    }
+
+    fn take_running(
+        &mut self,
+        node: &SmolStr,
+        boot: &Boot,
+        running: &[Running],
+        now: Duration,
+    ) -> HashSet<(SmolStr, TaskKey)> {
+        let mut listed = HashSet::new();
+        for row in running {
+            let key = (row.task.round, row.task.step, row.task.index);
+            let entry = self.jobs.get_mut(&row.task.job);
+            let run = entry.and_then(|e| e.runs.get_mut(&key));
+            let Some(run) = run.filter(|r| r.number == row.run && r.node == *node) else {
+                self.stop_stray(node, boot, row, now);
+                continue;
+            };
+            listed.insert((row.task.job.clone(), key));
+            run.boot = boot.clone();
+            run.load = row.load;
+            if run.percent != row.percent {
+                run.percent = row.percent;
+                run.moved = now;
+            }
+            if !row.checkpoint.is_empty() {
+                run.checkpoint = row.checkpoint.clone();
+            }
+            let adopted = matches!(run.phase, Phase::Ordered | Phase::Doubt);
+            if adopted {
+                let doubt = run.phase == Phase::Doubt;
+                run.enter(Phase::Live, now);
+                self.settle_adopted(&row.task.job, key, doubt, now);
+            }
+        }
+        listed
+    }
+
+    /// Keeps or stops a run that turned out to have started.
+    fn settle_adopted(&mut self, id: &SmolStr, key: TaskKey, doubt: bool, now: Duration) {
+        let Some(entry) = self.jobs.get(id) else {
+            return;
+        };
+        let over = entry.record.is_over();
+        let step = entry.step(key);
+        let number = entry.runs[&key].number;
+        let whole = !step.gang
+            || (0..step.count).all(|i| {
+                let member = entry.runs.get(&(key.0, key.1, i));
+                member.is_some_and(|r| r.number == number && r.phase != Phase::Stopping)
+            });
+        if over || !whole {
+            self.stop_run(id, key, "job over or gang broken", now);
+        } else if doubt {
+            let account = entry.record.job.account.clone();
+            let detail = format!("task={key:?} run={number}");
+            self.note(Decision::Adopted, id, &account, detail);
+        }
+    }
+
+    fn stop_stray(&mut self, node: &SmolStr, boot: &Boot, row: &Running, now: Duration) {
+        let Some(worker) = self.workers.get_mut(node) else {
+            return;
+        };
+        let stray = (row.task.clone(), row.run);
+        let last = worker.strays.get(&stray);
+        if last.is_some_and(|at| now < *at + STOP_AGAIN) {
+            return;
+        }
+        worker.strays.insert(stray, now);
+        let detail = format!("worker={node} run={} no record of this run", row.run);
+        self.note(Decision::Stopped, &row.task.job, "", detail);
+        self.effects.push(Effect::Send {
+            node: node.clone(),
+            boot: boot.clone(),
+            order: Order::Stop {
+                task: row.task.clone(),
+                run: row.run,
+            },
+        });
+    }
+
+    /// Ends runs that a listing, asked for later than they began, does not show.
+    fn find_vanished(
+        &mut self,
+        node: &SmolStr,
+        listed: &HashSet<(SmolStr, TaskKey)>,
+        sent: Duration,
+        now: Duration,
+    ) {
+        for (id, key, phase) in self.runs_on(node, |_| true) {
+            if listed.contains(&(id.clone(), key)) {
+                if matches!(phase, Phase::Stopping) {
+                    self.repeat_stop(&id, key, now);
+                }
+                continue;
+            }
+            let Some(run) = self.jobs.get(&id).and_then(|e| e.runs.get(&key)) else {
+                continue;
+            };
+            let barred = run.barred.is_some_and(|at| at < sent);
+            let begun = run.since < sent;
+            match phase {
+                Phase::Live if begun => self.lose(&id, key, "not listed any longer", now),
+                Phase::Doubt | Phase::Stopping if barred => {
+                    self.lose(&id, key, "stopped before it began", now);
+                }
+                Phase::Doubt | Phase::Stopping => self.repeat_stop(&id, key, now),
+                _ => {}
+            }
+        }
+    }
+
+    /// Sends a stop again if the last one was long ago.
+    pub(super) fn repeat_stop(&mut self, id: &SmolStr, key: TaskKey, now: Duration) {
+        let run = self.jobs.get_mut(id).and_then(|e| e.runs.get_mut(&key));
+        let Some(run) = run else {
+            return;
+        };
+        if run.stopped.is_some_and(|at| now < at + STOP_AGAIN) {
+            return;
+        }
+        run.stopped = Some(now);
+        let effect = Effect::Send {
+            node: run.node.clone(),
+            boot: run.boot.clone(),
+            order: Order::Stop {
+                task: task_id(id, key),
+                run: run.number,
+            },
+        };
+        self.effects.push(effect);
+    }
+}
+
+/// Returns the label that names a rack.
+fn rack(labels: &[SmolStr]) -> SmolStr {
+    let named = |l: &&SmolStr| l.starts_with(RACK) && l[1..].starts_with(|c: char| c.is_ascii_digit());
+    labels.iter().find(named).cloned().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/fleet/src/ledger/mod.rs
@@ -0,0 +1,470 @@
+//! The placer's view of all jobs and workers, and its decisions.
+//!
+//! Every start follows the same path: the plan writes the intent into the
+//! record, the record is stored, and only then is the order sent. A task gets a
+//! new start only once the end of its former one is known: listed by the
+//! worker, barred by an answered stop, gone with a life of the worker, or
+//! beyond the last lease that any placer can have granted.
+
+mod ends;
+mod fit;
+mod health;
+mod listing;
+mod orders;
+mod pace;
+mod plan;
+mod policy;
+mod preempt;
+mod writes;
+
+pub use policy::Inquiry;
+pub use writes::Batch;
+pub use writes::Write;
+
+use crate::job::Job;
+use crate::job::Step;
+use crate::manifest::Manifest;
+use crate::record::Place;
+use crate::record::Record;
+use crate::worker::Announcement;
+use crate::worker::Boot;
+use crate::worker::Order;
+use crate::worker::Room;
+use crate::worker::TaskId;
+use smol_str::SmolStr;
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Names a task within its job: occurrence, step, index.
+pub type TaskKey = (u32, u32, u32);
+
+/// Holds the durations that the platform states.
+#[derive(Clone, Copy, Debug)]
+pub struct Bounds {
+    /// The longest lease of a worker.
+    pub hold: Duration,
+    /// The time that a stop may take.
+    pub stop: Duration,
+    /// The wait of a gang's member for the others.
+    pub gang: Duration,
+    /// How long the state of an ended job can be asked for.
+    pub status: Duration,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            hold: Duration::from_secs(10),
+            stop: Duration::from_millis(500),
+            gang: Duration::from_secs(3),
+            status: Duration::from_secs(120),
+        }
+    }
+}
+
+/// The share by which a worker's clock may run slow, in percent.
+const CLOCK_DRIFT: u32 = 2;
+/// Room for the delivery of the last order of a former placer.
+const HORIZON_SLACK: Duration = Duration::from_millis(500);
+
+/// Enumerates how far a start has come.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Phase {
+    /// The intent is not stored yet.
+    Planned,
+    /// The order is out and not answered.
+    Ordered,
+    /// The worker has it.
+    Live,
+    /// The order may or may not have arrived, or may still arrive.
+    Doubt,
+    /// A stop was decided; the end is not known yet.
+    Stopping,
+}
+
+/// Describes a start whose end is not known.
+#[derive(Clone, Debug)]
+struct Run {
+    number: u64,
+    node: SmolStr,
+    boot: Boot,
+    phase: Phase,
+    /// When the phase began.
+    since: Duration,
+    /// When the intent was planned.
+    planned: Duration,
+    percent: u64,
+    /// When the progress last changed.
+    moved: Duration,
+    checkpoint: SmolStr,
+    /// Whether an order to start got no answer, so that it may still arrive.
+    silent: bool,
+    /// When a stop was answered, which bars a late arrival of the start.
+    barred: Option<Duration>,
+    /// When a stop was last sent.
+    stopped: Option<Duration>,
+    /// The share at which the run was told to work, in percent.
+    pace: u64,
+    /// The newest reported load.
+    load: u64,
+}
+
+/// Holds a job and what the store knows of it.
+struct Entry {
+    record: Record,
+    revision: u64,
+    /// The number of the newest change in memory.
+    changed: u64,
+    /// The number of the newest change in the store.
+    committed: u64,
+    writing: bool,
+    runs: BTreeMap<TaskKey, Run>,
+    /// Workers on which a task of the job failed.
+    avoided: HashSet<SmolStr>,
+    /// The gang starts that were already counted as failed.
+    counted: HashSet<(u32, u32, u64)>,
+    /// Approvals of the policy, by step of an occurrence.
+    approvals: HashMap<(u32, u32), policy::Approval>,
+    /// When a step became ready, by occurrence and step.
+    ready: HashMap<(u32, u32), Duration>,
+}
+
+/// Holds a worker and what it last said.
+struct Worker {
+    addr: SocketAddr,
+    announced: Option<Announcement>,
+    boot: Option<Boot>,
+    rack: SmolStr,
+    /// The worker's clock in milliseconds, and when it was read at the latest.
+    clock: Option<(u64, Duration)>,
+    heard: Option<Duration>,
+    /// When the last lease that was granted ends at the latest.
+    horizon: Duration,
+    /// Ends up to this number were taken into the records.
+    processed: u64,
+    /// Ends up to this number are stored.
+    seen: u64,
+    /// Ends that wait for records to be stored.
+    pending: Vec<(u64, Vec<(SmolStr, u64)>)>,
+    strays: HashMap<(TaskId, u64), Duration>,
+    health: health::Health,
+}
+
+/// Enumerates what the placer wants done.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Effect {
+    /// Sends an order to the sidecar of a worker.
+    Send {
+        /// The sidecar.
+        node: SmolStr,
+        /// The life of the worker that the order is meant for.
+        boot: Boot,
+        /// The order.
+        order: Order,
+    },
+    /// Asks the policy of a queue.
+    Ask(Inquiry),
+    /// Explains a decision to the log.
+    Note(Note),
+}
+
+/// Enumerates the decisions that are logged.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// A start was planned.
+    Placed,
+    /// A run ended.
+    Ended,
+    /// A run was ordered to stop.
+    Stopped,
+    /// A run was stopped in favour of a guarantee.
+    Preempted,
+    /// The start of a run was refused or got no answer.
+    StartFailed,
+    /// A run was taken over from a former placer or after a lost answer.
+    Adopted,
+    /// A run is considered gone without a listed end.
+    Lost,
+    /// A job reached its final state.
+    Finished,
+    /// A worker was seen for the first time or in a new life.
+    WorkerSeen,
+    /// A worker stopped answering.
+    WorkerSilent,
+    /// A worker is leaving.
+    WorkerDraining,
+    /// A worker gets no work for a while after failures.
+    Quarantined,
+    /// A run was told to work at another share.
+    Paced,
+}
+
+/// Describes one decision.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Note {
+    /// What was decided.
+    pub decision: Decision,
+    /// The job or worker concerned.
+    pub subject: SmolStr,
+    /// The client account concerned; empty for none.
+    pub account: SmolStr,
+    /// The inputs and the outcome.
+    pub detail: String,
+}
+
+/// Holds all jobs and workers of a placer.
+pub struct Ledger {
+    bounds: Bounds,
+    epoch: u64,
+    /// When this placer took over.
+    began: Duration,
+    jobs: BTreeMap<SmolStr, Entry>,
+    workers: BTreeMap<SmolStr, Worker>,
+    manifest: Rc<Manifest>,
+    changes: u64,
+    effects: Vec<Effect>,
+    /// Starts that wait until a record is stored: job, change, task, number.
+    held: Vec<(SmolStr, u64, TaskKey, u64)>,
+    fenced: bool,
+}
+
+impl Ledger {
+    /// Creates the ledger of a placer that took over at `now` under an epoch.
+    pub fn new(bounds: Bounds, epoch: u64, now: Duration) -> Self {
+        Self {
+            bounds,
+            epoch,
+            began: now,
+            jobs: BTreeMap::new(),
+            workers: BTreeMap::new(),
+            manifest: Rc::new(Manifest::default()),
+            changes: 0,
+            effects: Vec::new(),
+            held: Vec::new(),
+            fenced: false,
+        }
+    }
+
+    /// Returns the epoch that every order carries.
+    pub fn epoch(&self) -> u64 {
+        self.epoch
+    }
+
+    /// Tells whether a worker has seen a higher epoch.
+    pub fn is_fenced(&self) -> bool {
+        self.fenced
+    }
+
+    /// Puts a version of the manifest into force.
+    pub fn set_manifest(&mut self, manifest: Rc<Manifest>) {
+        self.manifest = manifest;
+    }
+
+    /// Takes what is to be done since the last call.
+    pub fn take_effects(&mut self) -> Vec<Effect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Takes in a stored record, new or changed by others.
+    pub fn put_job(&mut self, record: Record, revision: u64, now: Duration) {
+        let id = record.job.id.clone();
+        let Some(entry) = self.jobs.get_mut(&id) else {
+            self.jobs.insert(id, Entry::adopt(record, revision, now));
+            return;
+        };
+        if revision <= entry.revision {
+            return;
+        }
+        entry.revision = revision;
+        if record.cancelled && !entry.record.cancelled {
+            self.cancel(&id, now);
+        }
+    }
+
+    /// Forgets a job that was deleted from the store.
+    pub fn drop_job(&mut self, id: &str) {
+        self.jobs.remove(id);
+    }
+
+    /// Takes in the address of a sidecar.
+    pub fn put_worker(&mut self, node: SmolStr, addr: SocketAddr) {
+        let horizon = self.takeover_horizon();
+        let worker = self.workers.entry(node);
+        let worker = worker.or_insert_with(|| Worker::new(addr, horizon));
+        worker.addr = addr;
+    }
+
+    /// Returns the sidecars and their addresses.
+    pub fn nodes(&self) -> impl Iterator<Item = (&SmolStr, SocketAddr)> {
+        self.workers.iter().map(|(n, w)| (n, w.addr))
+    }
+
+    /// Returns the address of a sidecar.
+    pub fn addr(&self, node: &str) -> Option<SocketAddr> {
+        self.workers.get(node).map(|w| w.addr)
+    }
+
+    /// Returns when the leases that former placers granted have ended at the latest.
+    fn takeover_horizon(&self) -> Duration {
+        self.began + stretch(self.bounds.hold) + HORIZON_SLACK
+    }
+
+    fn cancel(&mut self, id: &SmolStr, now: Duration) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        entry.record.cancelled = true;
+        self.close(id, now);
+    }
+
+    /// Stops everything of a job that is over.
+    fn close(&mut self, id: &SmolStr, now: Duration) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let state = entry.record.state();
+        let account = entry.record.job.account.clone();
+        let keys: Vec<TaskKey> = entry.runs.keys().copied().collect();
+        self.note(Decision::Finished, id, &account, format!("state={state:?}"));
+        for key in keys {
+            self.stop_run(id, key, "job over", now);
+        }
+        self.touch(id);
+    }
+
+    fn note(&mut self, decision: Decision, subject: &str, account: &str, detail: String) {
+        self.effects.push(Effect::Note(Note {
+            decision,
+            subject: subject.into(),
+            account: account.into(),
+            detail,
+        }));
+    }
+
+    /// Marks a record as changed and returns the number of the change.
+    fn touch(&mut self, id: &str) -> u64 {
+        self.changes += 1;
+        if let Some(entry) = self.jobs.get_mut(id) {
+            entry.changed = self.changes;
+        }
+        self.changes
+    }
+}
+
+impl Entry {
+    fn adopt(record: Record, revision: u64, now: Duration) -> Self {
+        let mut runs = BTreeMap::new();
+        for (round, step, index, progress) in &record.tasks {
+            if let Some(place) = &progress.place {
+                let run = Run::adopt(progress.run, place, now);
+                runs.insert((*round, *step, *index), run);
+            }
+        }
+        Self {
+            record,
+            revision,
+            changed: 0,
+            committed: 0,
+            writing: false,
+            runs,
+            avoided: HashSet::new(),
+            counted: HashSet::new(),
+            approvals: HashMap::new(),
+            ready: HashMap::new(),
+        }
+    }
+
+    fn job(&self) -> &Job {
+        &self.record.job
+    }
+
+    fn step(&self, key: TaskKey) -> &Step {
+        &self.record.job.steps[key.1 as usize]
+    }
+}
+
+impl Run {
+    fn adopt(number: u64, place: &Place, now: Duration) -> Self {
+        Self {
+            phase: Phase::Doubt,
+            silent: true,
+            ..Self::planned(number, place, now)
+        }
+    }
+
+    fn planned(number: u64, place: &Place, now: Duration) -> Self {
+        Self {
+            number,
+            node: place.node.clone(),
+            boot: place.boot.clone(),
+            phase: Phase::Planned,
+            since: now,
+            planned: now,
+            percent: 0,
+            moved: now,
+            checkpoint: SmolStr::default(),
+            silent: false,
+            barred: None,
+            stopped: None,
+            pace: 100,
+            load: 0,
+        }
+    }
+
+    fn enter(&mut self, phase: Phase, now: Duration) {
+        self.phase = phase;
+        self.since = now;
+        self.moved = now;
+    }
+}
+
+impl Worker {
+    fn new(addr: SocketAddr, horizon: Duration) -> Self {
+        Self {
+            addr,
+            announced: None,
+            boot: None,
+            rack: SmolStr::default(),
+            clock: None,
+            heard: None,
+            horizon,
+            processed: 0,
+            seen: 0,
+            pending: Vec::new(),
+            strays: HashMap::new(),
+            health: health::Health::default(),
+        }
+    }
+
+    fn room(&self) -> Room {
+        self.announced.as_ref().map(|a| a.room).unwrap_or_default()
+    }
+}
+
+/// Returns the longest real time that a span of a worker's clock can take.
+fn stretch(span: Duration) -> Duration {
+    span * 100 / (100 - CLOCK_DRIFT)
+}
+
+/// Returns the resources that a task takes from the room of a worker.
+fn need(step: &Step) -> Room {
+    Room {
+        cpu: if step.filler { 0 } else { step.cpu },
+        memory: step.memory,
+        gpus: step.gpus,
+    }
+}
+
+/// Returns the full name of a task.
+fn task_id(job: &SmolStr, key: TaskKey) -> TaskId {
+    TaskId {
+        job: job.clone(),
+        round: key.0,
+        step: key.1,
+        index: key.2,
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/ledger/orders.rs
@@ -0,0 +1,187 @@
+//! Orders to workers and their answers.
+
+use super::Decision;
+use super::Ledger;
+use super::Phase;
+use super::TaskKey;
+use super::stretch;
+use crate::worker::Answer;
+use crate::worker::Boot;
+use crate::worker::Envelope;
+use crate::worker::Order;
+use crate::worker::Refusal;
+use smol_str::SmolStr;
+use std::time::Duration;
+
+/// The part of the longest lease that is left for the delivery of a grant.
+const GRANT_SLACK: Duration = Duration::from_millis(200);
+/// Time that a grant may spend on its way before it counts from its arrival.
+const DELIVERY: Duration = Duration::from_millis(100);
+/// The longest wait of a look.
+const LOOK_WAIT: Duration = Duration::from_millis(1_500);
+/// The wait of a look while the progress of the worker matters at once.
+const BUSY_WAIT: Duration = Duration::from_millis(400);
+
+impl Ledger {
+    /// Returns the next look at a worker.
+    pub fn look(&mut self, node: &SmolStr, now: Duration) -> Option<Envelope> {
+        let deadline = self.grant(node, now);
+        let busy = self.wants_looks(node);
+        let worker = self.workers.get(node)?;
+        let wait = match (deadline.is_some() && worker.pending.is_empty(), busy) {
+            (false, _) => Duration::ZERO,
+            (true, true) => BUSY_WAIT,
+            (true, false) => LOOK_WAIT,
+        };
+        Some(Envelope {
+            epoch: self.epoch,
+            boot: worker.boot.as_ref().map(|b| b.id.clone()).unwrap_or_default(),
+            order: Order::Look {
+                seen: worker.seen,
+                deadline,
+                wait: wait.as_millis() as u64,
+            },
+        })
+    }
+
+    /// Returns the end of a lease on the worker's clock, and remembers when it lapses.
+    pub(super) fn grant(&mut self, node: &str, now: Duration) -> Option<u64> {
+        let hold = self.bounds.hold - GRANT_SLACK;
+        let worker = self.workers.get_mut(node)?;
+        let (clock, read) = worker.clock?;
+        let passed = (now - read) * (100 - super::CLOCK_DRIFT) / 100;
+        let lapse = now + stretch(hold) + DELIVERY;
+        worker.horizon = worker.horizon.max(lapse);
+        Some(clock + (passed + hold).as_millis() as u64)
+    }
+
+    /// Takes in that a worker did not answer a look.
+    pub fn silent(&mut self, node: &SmolStr, now: Duration) {
+        let Some(worker) = self.workers.get(node) else {
+            return;
+        };
+        let detail = format!("heard={:?} horizon={:?} now={now:?}", worker.heard, worker.horizon);
+        self.note(Decision::WorkerSilent, node, "", detail);
+    }
+
+    /// Takes in the answer to an order other than a look.
+    ///
+    /// `doubtful` tells that an earlier attempt got no answer.
+    pub fn answered(
+        &mut self,
+        node: &SmolStr,
+        boot: &Boot,
+        order: &Order,
+        answer: &Answer,
+        doubtful: bool,
+        now: Duration,
+    ) {
+        if *answer == Answer::Refused(Refusal::Epoch) {
+            self.fenced = true;
+            return;
+        }
+        match order {
+            Order::Start(start) => {
+                let id = &start.task.job;
+                let key = (start.task.round, start.task.step, start.task.index);
+                if self.is_current(id, key, start.run, node) {
+                    self.start_answered(id, key, answer, doubtful, now);
+                }
+            }
+            Order::Stop { task, run } => {
+                let key = (task.round, task.step, task.index);
+                let same = self.workers.get(node).and_then(|w| w.boot.as_ref()) == Some(boot);
+                if self.is_current(&task.job, key, *run, node) && same {
+                    self.stop_answered(&task.job, key, answer, now);
+                }
+            }
+            Order::Look { .. } | Order::Pace { .. } => {}
+        }
+    }
+
+    fn is_current(&self, id: &SmolStr, key: TaskKey, number: u64, node: &str) -> bool {
+        let run = self.jobs.get(id).and_then(|e| e.runs.get(&key));
+        run.is_some_and(|r| r.number == number && r.node == node)
+    }
+
+    fn start_answered(
+        &mut self,
+        id: &SmolStr,
+        key: TaskKey,
+        answer: &Answer,
+        doubtful: bool,
+        now: Duration,
+    ) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let account = entry.record.job.account.clone();
+        let Some(run) = entry.runs.get_mut(&key) else {
+            return;
+        };
+        let node = run.node.clone();
+        run.silent |= doubtful || *answer == Answer::Silent;
+        if *answer == Answer::Accepted {
+            if run.phase == Phase::Ordered {
+                run.enter(Phase::Live, now);
+            }
+            return;
+        }
+        let detail = format!(
+            "task={key:?} run={} worker={node} answer={answer:?} doubtful={doubtful}",
+            run.number
+        );
+        let (ordered, silent) = (run.phase == Phase::Ordered, run.silent);
+        self.note(Decision::StartFailed, id, &account, detail);
+        self.blame_refusal(&node, id, key, answer, now);
+        if !ordered {
+            return;
+        }
+        if silent {
+            self.stop_run(id, key, "the start got no answer", now);
+            self.break_if_gang(id, key, now);
+        } else {
+            self.lose(id, key, "the start was refused", now);
+        }
+    }
+
+    fn break_if_gang(&mut self, id: &SmolStr, key: TaskKey, now: Duration) {
+        if self.jobs.get(id).is_some_and(|e| e.step(key).gang) {
+            self.break_gang(id, key, now);
+        }
+    }
+
+    fn blame_refusal(
+        &mut self,
+        node: &SmolStr,
+        id: &SmolStr,
+        key: TaskKey,
+        answer: &Answer,
+        now: Duration,
+    ) {
+        let Some(worker) = self.workers.get_mut(node) else {
+            return;
+        };
+        match answer {
+            Answer::Refused(Refusal::Draining) => {
+                if let Some(announced) = &mut worker.announced {
+                    announced.draining = true;
+                }
+            }
+            Answer::Refused(Refusal::Ticket) => {
+                if let Some(entry) = self.jobs.get_mut(id) {
+                    entry.approvals.remove(&(key.0, key.1));
+                }
+            }
+            Answer::Refused(Refusal::Boot) => worker.heard = None,
+            _ => worker.health.pause(now),
+        }
+    }
+
+    fn stop_answered(&mut self, id: &SmolStr, key: TaskKey, answer: &Answer, now: Duration) {
+        let run = self.jobs.get_mut(id).and_then(|e| e.runs.get_mut(&key));
+        if let Some(run) = run.filter(|_| *answer == Answer::Accepted) {
+            run.barred = Some(now);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/ledger/pace.rs
@@ -0,0 +1,93 @@
+//! Slowing down fillers where they disturb tasks that serve.
+
+use super::Decision;
+use super::Effect;
+use super::Ledger;
+use super::Phase;
+use super::TaskKey;
+use super::task_id;
+use crate::worker::Order;
+use smol_str::SmolStr;
+use std::time::Duration;
+
+/// The share of a latency bound, in percent, above which fillers slow down.
+const HIGH_MARK: u64 = 85;
+/// The share of a latency bound, in percent, below which fillers speed up.
+const LOW_MARK: u64 = 60;
+/// What a filler gains at each look while the latency is low, in percent.
+const GAIN: u64 = 10;
+/// A filler below this share stops working, in percent.
+const LEAST: u64 = 8;
+
+impl Ledger {
+    /// Tells whether a worker should be looked at more often.
+    pub(super) fn wants_looks(&self, node: &str) -> bool {
+        let draining = self
+            .workers
+            .get(node)
+            .and_then(|w| w.announced.as_ref())
+            .is_some_and(|a| a.draining);
+        draining
+            || self.jobs.values().any(|e| {
+                e.runs.iter().any(|(key, run)| {
+                    let step = e.step(*key);
+                    let unsettled = matches!(run.phase, Phase::Doubt | Phase::Stopping);
+                    run.node == node && (unsettled || step.latency > 0 || step.filler)
+                })
+            })
+    }
+
+    pub(super) fn adjust_pace(&mut self, node: &SmolStr, _now: Duration) {
+        let mut worst = None;
+        let mut fillers: Vec<(SmolStr, TaskKey)> = Vec::new();
+        for (id, entry) in &self.jobs {
+            for (key, run) in &entry.runs {
+                if run.node != *node || run.phase != Phase::Live {
+                    continue;
+                }
+                let step = entry.step(*key);
+                if step.latency > 0 {
+                    worst = worst.max(Some(run.load * 100 / step.latency));
+                } else if step.filler {
+                    fillers.push((id.clone(), *key));
+                }
+            }
+        }
+        let ratio = worst.unwrap_or(0);
+        for (id, key) in fillers {
+            self.pace_filler(&id, key, ratio);
+        }
+    }
+
+    fn pace_filler(&mut self, id: &SmolStr, key: TaskKey, ratio: u64) {
+        let run = self.jobs.get_mut(id).and_then(|e| e.runs.get_mut(&key));
+        let Some(run) = run else {
+            return;
+        };
+        let wanted = match ratio {
+            r if r > HIGH_MARK && run.pace / 2 < LEAST => 0,
+            r if r > HIGH_MARK => run.pace / 2,
+            r if r < LOW_MARK => (run.pace + GAIN).min(100),
+            _ => run.pace,
+        };
+        if wanted == run.pace {
+            return;
+        }
+        let detail = format!(
+            "task={key:?} worker={} latency={ratio}% from={} to={wanted}",
+            run.node, run.pace
+        );
+        run.pace = wanted;
+        let effect = Effect::Send {
+            node: run.node.clone(),
+            boot: run.boot.clone(),
+            order: Order::Pace {
+                task: task_id(id, key),
+                run: run.number,
+                percent: wanted,
+            },
+        };
+        self.effects.push(effect);
+        self.note(Decision::Paced, id, "", detail);
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/ledger/plan.rs
@@ -0,0 +1,338 @@
+//! Deciding what starts next.
+
+use super::Decision;
+use super::Ledger;
+use super::Phase;
+use super::Run;
+use super::TaskKey;
+use super::fit::Area;
+use super::fit::Candidate;
+use super::fit::Slot;
+use super::task_id;
+use crate::record::Place;
+use crate::worker::Order;
+use crate::worker::Start;
+use smol_str::SmolStr;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// A run whose progress did not change for this long stands still.
+const STANDSTILL: Duration = Duration::from_millis(3_500);
+/// The longest wait for a place near the data or for a whole rack.
+const MAX_PATIENCE: Duration = Duration::from_secs(8);
+/// A step that waited this long gets workers kept for it.
+const KEEP_AFTER: Duration = Duration::from_millis(1_500);
+/// The steps for which workers are kept at once.
+const MAX_KEPT: usize = 2;
+
+/// The class of jobs under a guarantee.
+const GUARANTEED: u32 = 0;
+/// The class of lasting tasks, which are restarted at once.
+const LASTING: u32 = 1;
+/// The class of jobs of priority 0 beyond their guarantee.
+const ORDINARY: u32 = 2;
+
+impl Ledger {
+    /// Decides what starts and stops, given the time and the time of day.
+    pub fn plan(&mut self, now: Duration, wall: u64) {
+        self.expire(now);
+        self.stop_standstills(now);
+        let classes = self.classes();
+        let mut slots = self.slots(now);
+        let mut kept = 0;
+        for candidate in self.candidates(&classes, now, wall) {
+            if !self.approved(&candidate.job, candidate.round, candidate.step, now) {
+                continue;
+            }
+            let areas = self.areas(&candidate, &slots);
+            if self.try_start(&candidate, &mut slots, &areas, now) {
+                continue;
+            }
+            if candidate.class == GUARANTEED {
+                self.preempt(&candidate, &classes, &mut slots, &areas, now);
+            } else if kept < MAX_KEPT && candidate.waited > KEEP_AFTER {
+                kept += usize::from(self.keep(&candidate, &mut slots, &areas));
+            }
+        }
+    }
+
+    /// Ends runs on workers that are silent beyond the last lease.
+    fn expire(&mut self, now: Duration) {
+        let begun = self.takeover_horizon();
+        let mut lapsed: Vec<(SmolStr, TaskKey)> = Vec::new();
+        for (id, entry) in &self.jobs {
+            for (key, run) in &entry.runs {
+                let worker = self.workers.get(&run.node);
+                let horizon = worker.map_or(begun, |w| w.horizon.max(begun));
+                let silent = worker.and_then(|w| w.heard).is_none_or(|at| at < run.since);
+                let heard = worker.and_then(|w| w.heard).unwrap_or_default();
+                let quiet = now > heard + self.bounds.hold;
+                if run.phase != Phase::Planned && now > horizon && (silent || quiet) {
+                    lapsed.push((id.clone(), *key));
+                }
+            }
+        }
+        for (id, key) in lapsed {
+            self.lose(&id, key, "the worker's lease has lapsed", now);
+        }
+    }
+
+    fn stop_standstills(&mut self, now: Duration) {
+        let mut stuck = Vec::new();
+        for (id, entry) in &self.jobs {
+            for (key, run) in &entry.runs {
+                let step = entry.step(*key);
+                let heard = self.workers.get(&run.node).and_then(|w| w.heard);
+                let fresh = heard.is_some_and(|at| at > run.moved + STANDSTILL);
+                let paced = step.filler && run.pace < 100;
+                if run.phase == Phase::Live && run.percent < 100 && fresh && !paced {
+                    stuck.push((id.clone(), *key, run.node.clone(), step.gang));
+                }
+            }
+        }
+        for (id, key, node, gang) in stuck {
+            if let Some(entry) = self.jobs.get_mut(&id) {
+                entry.avoided.insert(node.clone());
+            }
+            if !gang {
+                self.blame_standstill(&node, now);
+            }
+            self.stop_run(&id, key, "the run stands still", now);
+            if gang {
+                self.break_gang(&id, key, now);
+            }
+        }
+    }
+
+    /// Returns the class of each job that is not over.
+    fn classes(&self) -> HashMap<SmolStr, u32> {
+        let mut open: Vec<_> = self.jobs.values().filter(|e| !e.record.is_over()).collect();
+        open.sort_by(|a, b| {
+            let order = |e: &super::Entry| (e.job().accepted, e.job().id.clone());
+            order(a).cmp(&order(b))
+        });
+        let mut used: HashMap<SmolStr, u64> = HashMap::new();
+        let mut classes = HashMap::new();
+        for entry in open {
+            let job = entry.job();
+            let mut class = ORDINARY + job.priority;
+            if job.priority == 0 {
+                let sum = used.entry(job.account.clone()).or_default();
+                *sum += job.accelerators();
+                if *sum <= self.manifest.guaranteed(&job.account) {
+                    class = GUARANTEED;
+                }
+            }
+            if class != GUARANTEED && job.steps.iter().any(|s| s.lasting) {
+                class = LASTING;
+            }
+            classes.insert(job.id.clone(), class);
+        }
+        classes
+    }
+
+    /// Returns what could start now, the most urgent first.
+    fn candidates(
+        &mut self,
+        classes: &HashMap<SmolStr, u32>,
+        now: Duration,
+        wall: u64,
+    ) -> Vec<Candidate> {
+        let mut found = Vec::new();
+        for (id, entry) in &mut self.jobs {
+            let Some(class) = classes.get(id) else {
+                continue;
+            };
+            let job = entry.record.job.clone();
+            for round in 0..job.rounds() {
+                if job.schedule.is_some() && wall < job.due(round) {
+                    break;
+                }
+                for (at, step) in job.steps.iter().enumerate() {
+                    let at = at as u32;
+                    let blocked = step.after.iter().any(|a| !entry.record.step_done(round, *a));
+                    if blocked {
+                        continue;
+                    }
+                    let idle = |index: &u32| {
+                        let done = entry.record.find(round, at, *index).is_some_and(|p| p.done);
+                        !done && !entry.runs.contains_key(&(round, at, *index))
+                    };
+                    let indices: Vec<u32> = (0..step.count).filter(idle).collect();
+                    let whole = !step.gang || indices.len() == step.count as usize;
+                    if indices.is_empty() || !whole {
+                        continue;
+                    }
+                    let since = *entry.ready.entry((round, at)).or_insert(now);
+                    found.push(Candidate {
+                        class: *class,
+                        accepted: job.accepted,
+                        job: id.clone(),
+                        round,
+                        step: at,
+                        indices,
+                        waited: now.saturating_sub(since),
+                    });
+                }
+            }
+        }
+        found.sort_by(|a, b| {
+            let order = |c: &Candidate| (c.class, c.accepted, c.job.clone(), c.round, c.step);
+            order(a).cmp(&order(b))
+        });
+        found
+    }
+
+    /// Returns the areas to try for a candidate, the best first.
+    fn areas(&self, candidate: &Candidate, slots: &[Slot]) -> Vec<Area> {
+        let entry = &self.jobs[&candidate.job];
+        let step = &entry.record.job.steps[candidate.step as usize];
+        let patience = Duration::from_millis(step.runtime).min(MAX_PATIENCE);
+        let patient = candidate.waited < patience;
+        let racks = self.racks(candidate, slots);
+        let mut areas = Vec::new();
+        if step.gang && step.same_rack && step.count > 1 {
+            let fits = |rack: &SmolStr| {
+                let mut empty: Vec<Slot> = slots.to_vec();
+                for slot in &mut empty {
+                    slot.free = slot.total;
+                    slot.kept = false;
+                }
+                let area = Area::Rack(rack.clone());
+                !self.fit(candidate, &mut empty, &area).is_empty()
+            };
+            let whole: Vec<SmolStr> = racks.iter().filter(|r| fits(r)).cloned().collect();
+            let confined = !whole.is_empty();
+            areas.extend(whole.into_iter().map(Area::Rack));
+            if confined && patient {
+                return areas;
+            }
+        } else if racks.contains(&step.rack) {
+            areas.push(Area::Rack(step.rack.clone()));
+            if patient {
+                return areas;
+            }
+        }
+        areas.push(Area::Any);
+        areas
+    }
+
+    fn try_start(
+        &mut self,
+        candidate: &Candidate,
+        slots: &mut [Slot],
+        areas: &[Area],
+        now: Duration,
+    ) -> bool {
+        let mut rest = candidate.clone();
+        for area in areas {
+            let placed = self.fit(&rest, slots, area);
+            if placed.is_empty() {
+                continue;
+            }
+            let placed: Vec<(u32, Place)> = placed
+                .into_iter()
+                .map(|(index, at)| {
+                    let place = Place {
+                        node: slots[at].node.clone(),
+                        boot: slots[at].boot.clone(),
+                    };
+                    (index, place)
+                })
+                .collect();
+            rest.indices.retain(|i| !placed.iter().any(|(p, _)| p == i));
+            self.intend(candidate, placed, now);
+            if rest.indices.is_empty() {
+                return true;
+            }
+        }
+        rest.indices.is_empty()
+    }
+
+    /// Writes the intent to start tasks into the record.
+    fn intend(&mut self, candidate: &Candidate, placed: Vec<(u32, Place)>, now: Duration) {
+        let id = &candidate.job;
+        let (round, step) = (candidate.round, candidate.step);
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let gang = entry.step((round, step, 0)).gang;
+        let newest = |index: u32| entry.record.find(round, step, index).map_or(0, |p| p.run);
+        let shared = placed.iter().map(|(i, _)| newest(*i)).max().unwrap_or(0) + 1;
+        let numbers: Vec<u64> = placed
+            .iter()
+            .map(|(i, _)| if gang { shared } else { newest(*i) + 1 })
+            .collect();
+        let account = entry.record.job.account.clone();
+        let mut detail = format!("class={} waited={:?}", candidate.class, candidate.waited);
+        let mut planned = Vec::new();
+        for ((index, place), number) in placed.into_iter().zip(numbers) {
+            let key = (round, step, index);
+            detail += &format!(" {key:?}#{number}@{}", place.node);
+            let progress = entry.record.task(round, step, index);
+            progress.run = number;
+            progress.place = Some(place.clone());
+            entry.runs.insert(key, Run::planned(number, &place, now));
+            planned.push((key, number));
+        }
+        let change = self.touch(id);
+        for (key, number) in planned {
+            self.held.push((id.clone(), change, key, number));
+        }
+        self.note(Decision::Placed, id, &account, detail);
+    }
+
+    /// Sends the start of a run whose intent is stored.
+    pub(super) fn order_start(&mut self, id: &SmolStr, key: TaskKey, now: Duration) {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return;
+        };
+        let gang = entry.step(key).gang;
+        let index = if gang { 0 } else { key.2 };
+        let saved = entry.record.find(key.0, key.1, index);
+        let checkpoint = saved.map(|p| p.checkpoint.clone()).unwrap_or_default();
+        let spec = entry.record.job.spec.clone();
+        let Some(run) = entry.runs.get_mut(&key) else {
+            return;
+        };
+        let (node, boot, number) = (run.node.clone(), run.boot.clone(), run.number);
+        let deadline = self.grant(&node, now);
+        let ticket = self.ticket(id, key.0, key.1, &boot.id);
+        let (Some(deadline), Some(ticket)) = (deadline, ticket) else {
+            self.lose(id, key, "the worker or its approval is gone", now);
+            return;
+        };
+        if let Some(run) = self.jobs.get_mut(id).and_then(|e| e.runs.get_mut(&key)) {
+            run.enter(Phase::Ordered, now);
+        }
+        let start = Start {
+            task: task_id(id, key),
+            run: number,
+            spec,
+            deadline,
+            checkpoint,
+            ticket,
+        };
+        let order = Order::Start(Box::new(start));
+        self.effects.push(super::Effect::Send { node, boot, order });
+    }
+
+    /// Keeps the workers on which a waiting step would fit soonest.
+    fn keep(&self, candidate: &Candidate, slots: &mut [Slot], areas: &[Area]) -> bool {
+        for area in areas {
+            let mut empty: Vec<Slot> = slots.to_vec();
+            for slot in &mut empty {
+                slot.free = slot.total;
+            }
+            let placed = self.fit(candidate, &mut empty, area);
+            if placed.is_empty() {
+                continue;
+            }
+            for (_, at) in placed {
+                slots[at].kept = true;
+            }
+            return true;
+        }
+        false
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/ledger/policy.rs
@@ -0,0 +1,114 @@
+//! Approvals of workers by the policy of a queue.
+
+use super::Effect;
+use super::Ledger;
+use smol_str::SmolStr;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// The most workers that one inquiry names.
+const MAX_WORKERS: usize = 100;
+/// Time for an order to reach a worker before its approval lapses.
+const MARGIN: Duration = Duration::from_millis(300);
+/// The wait for an answer before the policy is asked again.
+const PATIENCE: Duration = Duration::from_secs(2);
+/// The pause after a failed inquiry.
+const PAUSE: Duration = Duration::from_millis(300);
+
+/// Asks which workers may run a step.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Inquiry {
+    /// The job.
+    pub job: SmolStr,
+    /// The occurrence.
+    pub round: u32,
+    /// The step.
+    pub step: u32,
+    /// The identifiers of the workers.
+    pub workers: Vec<SmolStr>,
+}
+
+/// Holds the newest answer of the policy for one step.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Approval {
+    tickets: HashMap<SmolStr, SmolStr>,
+    until: Duration,
+    /// No further inquiry before this time.
+    again: Duration,
+}
+
+impl Approval {
+    fn stands(&self, now: Duration) -> bool {
+        now + MARGIN < self.until
+    }
+}
+
+impl Ledger {
+    /// Tells whether a step may be placed, and asks the policy if it must.
+    pub(super) fn approved(
+        &mut self,
+        id: &SmolStr,
+        round: u32,
+        step: u32,
+        now: Duration,
+    ) -> bool {
+        let Some(entry) = self.jobs.get_mut(id) else {
+            return false;
+        };
+        if entry.record.job.policy.is_none() {
+            return true;
+        }
+        let approval = entry.approvals.entry((round, step)).or_default();
+        if approval.stands(now) {
+            return true;
+        }
+        if now < approval.again {
+            return false;
+        }
+        approval.again = now + PATIENCE;
+        let service = &entry.record.job.service;
+        let announced = self.workers.values().filter_map(|w| w.announced.as_ref());
+        let able = announced.filter(|a| a.service == *service && !a.draining);
+        let workers = able.map(|a| a.boot.id.clone()).take(MAX_WORKERS).collect();
+        self.effects.push(Effect::Ask(Inquiry {
+            job: id.clone(),
+            round,
+            step,
+            workers,
+        }));
+        false
+    }
+
+    /// Returns the approval of a worker for a step; empty if none is needed.
+    pub(super) fn ticket(&self, id: &str, round: u32, step: u32, boot: &str) -> Option<SmolStr> {
+        let entry = self.jobs.get(id)?;
+        if entry.record.job.policy.is_none() {
+            return Some(SmolStr::default());
+        }
+        entry.approvals.get(&(round, step))?.tickets.get(boot).cloned()
+    }
+
+    /// Takes in the answer to an inquiry that was sent at `sent`.
+    pub fn advised(
+        &mut self,
+        inquiry: &Inquiry,
+        sent: Duration,
+        now: Duration,
+        answer: Option<Vec<(SmolStr, SmolStr)>>,
+    ) {
+        let Some(entry) = self.jobs.get_mut(&inquiry.job) else {
+            return;
+        };
+        let valid = entry.record.job.policy.map_or(0, |p| p.valid_ms);
+        let slot = entry.approvals.entry((inquiry.round, inquiry.step));
+        let approval = slot.or_default();
+        match answer {
+            Some(rows) => {
+                approval.tickets = rows.into_iter().collect();
+                approval.until = sent + Duration::from_millis(valid);
+                approval.again = now;
+            }
+            None => approval.again = now + PAUSE,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/ledger/preempt.rs
@@ -0,0 +1,201 @@
+//! Making room for guaranteed jobs.
+
+use super::Decision;
+use super::Ledger;
+use super::Phase;
+use super::TaskKey;
+use super::fit::Area;
+use super::fit::Candidate;
+use super::fit::Slot;
+use super::fit::in_area;
+use super::fit::room_beside;
+use super::need;
+use crate::worker::Room;
+use smol_str::SmolStr;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// What an accelerator weighs against a core when work is thrown away.
+const GPU_CORES: u64 = 8;
+/// The work of a task that saves checkpoints which a stop loses at most.
+const CHECKPOINTED: Duration = Duration::from_millis(700);
+
+/// Names a run: its job and task.
+type RunKey = (SmolStr, TaskKey);
+
+/// Holds a way to make room.
+#[derive(Clone, Debug, Default)]
+struct Clearing {
+    /// Core-seconds that are thrown away.
+    cost: u64,
+    victims: BTreeSet<RunKey>,
+    slots: Vec<Slot>,
+    used: Vec<usize>,
+}
+
+impl Ledger {
+    /// Stops runs of others so that a candidate can start, in the cheapest area.
+    ///
+    /// Returns whether the room is or becomes free.
+    pub(super) fn preempt(
+        &mut self,
+        candidate: &Candidate,
+        classes: &HashMap<SmolStr, u32>,
+        slots: &mut Vec<Slot>,
+        areas: &[Area],
+        now: Duration,
+    ) -> bool {
+        let ways = areas.iter().filter_map(|a| self.clear(candidate, classes, slots, a, now));
+        let Some(way) = ways.min_by_key(|w| w.cost) else {
+            return false;
+        };
+        *slots = way.slots;
+        for at in way.used {
+            slots[at].kept = true;
+        }
+        for (id, key) in way.victims {
+            let detail = format!("task={key:?} for={} cost={}", candidate.job, way.cost);
+            let account = self.account_of(&id);
+            self.note(Decision::Preempted, &id, &account, detail);
+            self.stop_run(&id, key, "preempted", now);
+        }
+        true
+    }
+
+    fn account_of(&self, id: &str) -> SmolStr {
+        self.jobs.get(id).map(|e| e.record.job.account.clone()).unwrap_or_default()
+    }
+
+    fn clear(
+        &self,
+        candidate: &Candidate,
+        classes: &HashMap<SmolStr, u32>,
+        slots: &[Slot],
+        area: &Area,
+        now: Duration,
+    ) -> Option<Clearing> {
+        let entry = self.jobs.get(&candidate.job)?;
+        let step = &entry.record.job.steps[candidate.step as usize];
+        let wanted = need(step);
+        let mut way = Clearing {
+            slots: slots.to_vec(),
+            ..Clearing::default()
+        };
+        let mut placed: Vec<(u32, usize)> = Vec::new();
+        for index in &candidate.indices {
+            let mut best: Option<(u64, usize, BTreeSet<RunKey>)> = None;
+            for (at, slot) in way.slots.iter().enumerate() {
+                let open = in_area(slot, area)
+                    && (!slot.kept || way.used.contains(&at))
+                    && slot.total.holds(&wanted)
+                    && self.suits(entry, candidate, slot)
+                    && room_beside(entry, candidate, step, slot, at, &placed);
+                if !open {
+                    continue;
+                }
+                let found = self.victims(candidate, classes, slot, &wanted, &way.victims, now);
+                let Some((cost, victims)) = found else {
+                    continue;
+                };
+                if best.as_ref().is_none_or(|b| cost < b.0) {
+                    best = Some((cost, at, victims));
+                }
+            }
+            let (cost, at, victims) = best?;
+            way.cost += cost;
+            self.free_victims(&mut way, victims);
+            take_freeing(&mut way.slots[at], &wanted);
+            way.used.push(at);
+            placed.push((*index, at));
+        }
+        Some(way)
+    }
+
+    /// Returns the cheapest runs on a worker whose end makes room for a task.
+    fn victims(
+        &self,
+        candidate: &Candidate,
+        classes: &HashMap<SmolStr, u32>,
+        slot: &Slot,
+        wanted: &Room,
+        already: &BTreeSet<RunKey>,
+        now: Duration,
+    ) -> Option<(u64, BTreeSet<RunKey>)> {
+        let mut room = slot.free;
+        room.give(&slot.freeing);
+        let mut victims = BTreeSet::new();
+        if room.holds(wanted) {
+            return Some((0, victims));
+        }
+        let mut offers: Vec<(u64, Room, BTreeSet<RunKey>)> = Vec::new();
+        for (id, key, phase) in self.runs_on(&slot.node, |_| true) {
+            let taken = (id.clone(), key);
+            let lower = classes.get(&id).is_none_or(|c| *c > candidate.class);
+            let movable = matches!(phase, Phase::Live | Phase::Ordered | Phase::Planned);
+            let lasting = self.jobs.get(&id).is_none_or(|e| e.step(key).lasting);
+            if already.contains(&taken) || !lower || !movable || lasting {
+                continue;
+            }
+            let (cost, members) = self.cost_of(&id, key, now);
+            offers.push((cost, need(self.jobs[&id].step(key)), members));
+        }
+        offers.sort_by_key(|o| o.0 / (1 + o.1.gpus));
+        let mut total = 0;
+        for (cost, taken, members) in offers {
+            if room.holds(wanted) {
+                break;
+            }
+            if members.is_subset(&victims) {
+                continue;
+            }
+            room.give(&taken);
+            total += cost;
+            victims.extend(members);
+        }
+        room.holds(wanted).then_some((total, victims))
+    }
+
+    /// Returns the core-seconds that a stop throws away, and all runs that it ends.
+    fn cost_of(&self, id: &SmolStr, key: TaskKey, now: Duration) -> (u64, BTreeSet<RunKey>) {
+        let entry = &self.jobs[id];
+        let step = entry.step(key);
+        let same = |k: &TaskKey| *k == key || (step.gang && (k.0, k.1) == (key.0, key.1));
+        let members: Vec<TaskKey> = entry.runs.keys().copied().filter(same).collect();
+        let weight = step.cpu / 1_000 + step.gpus * GPU_CORES;
+        let lost = |k: &TaskKey| {
+            let age = now.saturating_sub(entry.runs[k].planned);
+            let age = if step.checkpoints {
+                age.min(CHECKPOINTED)
+            } else {
+                age
+            };
+            1 + weight * age.as_millis() as u64 / 1_000
+        };
+        let cost = members.iter().map(lost).sum();
+        (cost, members.into_iter().map(|k| (id.clone(), k)).collect())
+    }
+
+    fn free_victims(&self, way: &mut Clearing, victims: BTreeSet<RunKey>) {
+        for (id, key) in victims {
+            let Some(entry) = self.jobs.get(&id) else {
+                continue;
+            };
+            let run = &entry.runs[&key];
+            let slot = way.slots.iter_mut().find(|s| s.node == run.node);
+            if let Some(slot) = slot.filter(|_| !way.victims.contains(&(id.clone(), key))) {
+                slot.freeing.give(&need(entry.step(key)));
+            }
+            way.victims.insert((id, key));
+        }
+    }
+}
+
+/// Takes room that is free or becomes free.
+fn take_freeing(slot: &mut Slot, wanted: &Room) {
+    let mut rest = slot.free;
+    rest.give(&slot.freeing);
+    rest.take(wanted);
+    slot.freeing = rest;
+    slot.free = Room::default();
+}
--- /dev/null
+++ b/crates/fleet/src/ledger/writes.rs
@@ -0,0 +1,152 @@
+//! Storing records, and what waits for it.
+
+use super::Ledger;
+use super::Phase;
+use crate::record::Record;
+use smol_str::SmolStr;
+use std::time::Duration;
+
+/// The most records of one transaction, which also names the placer's own key.
+const BATCH: usize = 31;
+/// Time beyond the promised one before an ended job is deleted.
+const STATUS_SLACK: Duration = Duration::from_secs(60);
+
+/// Holds records to store in one transaction.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Batch {
+    /// The records.
+    pub writes: Vec<Write>,
+}
+
+/// Holds one record to store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Write {
+    /// The job.
+    pub job: SmolStr,
+    /// The revision that the record must have.
+    pub revision: u64,
+    /// The encoded record; none deletes it.
+    pub value: Option<Vec<u8>>,
+    change: u64,
+}
+
+impl Ledger {
+    /// Takes the records that changed, as many as fit one transaction.
+    pub fn take_batch(&mut self, wall: u64) -> Option<Batch> {
+        self.mark_ended(wall);
+        let mut batch = Batch::default();
+        for (id, entry) in &mut self.jobs {
+            if entry.changed <= entry.committed || entry.writing {
+                continue;
+            }
+            entry.writing = true;
+            batch.writes.push(Write {
+                job: id.clone(),
+                revision: entry.revision,
+                value: Some(entry.record.encode()),
+                change: entry.changed,
+            });
+            if batch.writes.len() == BATCH {
+                break;
+            }
+        }
+        (!batch.writes.is_empty()).then_some(batch)
+    }
+
+    /// Takes ended jobs whose state need not be known any longer.
+    pub fn take_expired(&mut self, wall: u64) -> Option<Batch> {
+        let keep = (self.bounds.status + STATUS_SLACK).as_millis() as u64;
+        let mut batch = Batch::default();
+        for (id, entry) in &mut self.jobs {
+            let ended = entry.record.ended;
+            let settled = entry.runs.is_empty() && entry.changed <= entry.committed;
+            if ended == 0 || wall < ended + keep || !settled || entry.writing {
+                continue;
+            }
+            entry.writing = true;
+            batch.writes.push(Write {
+                job: id.clone(),
+                revision: entry.revision,
+                value: None,
+                change: entry.changed,
+            });
+            if batch.writes.len() == BATCH {
+                break;
+            }
+        }
+        (!batch.writes.is_empty()).then_some(batch)
+    }
+
+    /// Takes in that a batch was stored, and releases what waited for it.
+    pub fn committed(&mut self, batch: &Batch, revision: u64, now: Duration) {
+        for write in &batch.writes {
+            if write.value.is_none() {
+                self.jobs.remove(&write.job);
+                continue;
+            }
+            if let Some(entry) = self.jobs.get_mut(&write.job) {
+                entry.writing = false;
+                entry.revision = entry.revision.max(revision);
+                entry.committed = write.change;
+            }
+        }
+        self.release(now);
+    }
+
+    /// Takes in that a batch was not stored and will not be.
+    pub fn abandoned(&mut self, batch: &Batch) {
+        for write in &batch.writes {
+            if let Some(entry) = self.jobs.get_mut(&write.job) {
+                entry.writing = false;
+            }
+        }
+    }
+
+    /// Takes in the stored state of a record whose revision was another one.
+    pub fn conflicted(&mut self, record: Record, revision: u64, now: Duration) {
+        self.put_job(record, revision, now);
+    }
+
+    /// Returns whether a worker's ends wait for records to be stored.
+    pub fn awaits_store(&self, node: &str) -> bool {
+        self.workers.get(node).is_some_and(|w| !w.pending.is_empty())
+    }
+
+    fn mark_ended(&mut self, wall: u64) {
+        for entry in self.jobs.values_mut() {
+            if entry.record.ended == 0 && entry.changed > entry.committed && entry.record.is_over()
+            {
+                entry.record.ended = wall;
+            }
+        }
+    }
+
+    /// Sends the starts, and acknowledges the ends, whose records are stored.
+    fn release(&mut self, now: Duration) {
+        for (id, change, key, number) in std::mem::take(&mut self.held) {
+            let Some(entry) = self.jobs.get(&id) else {
+                continue;
+            };
+            let run = entry.runs.get(&key);
+            let waits = run.is_some_and(|r| r.phase == Phase::Planned && r.number == number);
+            if waits && entry.committed >= change {
+                self.order_start(&id, key, now);
+            } else if waits {
+                self.held.push((id, change, key, number));
+            }
+        }
+        let jobs = &self.jobs;
+        for worker in self.workers.values_mut() {
+            while let Some((number, needs)) = worker.pending.first() {
+                let stored = |(id, change): &(SmolStr, u64)| {
+                    jobs.get(id).is_none_or(|e| e.committed >= *change)
+                };
+                if !needs.iter().all(stored) {
+                    break;
+                }
+                worker.seen = *number;
+                worker.pending.remove(0);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,22 @@
+//! Multi-step jobs on a fleet of workers.
+//!
+//! The crate holds the job model, the stored record of a job, the manifest of
+//! queues and client accounts, and the placer's ledger: a state machine that
+//! decides what starts where. It does no I/O; the time is passed in.
+//!
+//! ```
+//! use hibiscusbarrow_fleet::job::Job;
+//! use hibiscusbarrow_fleet::job::Step;
+//! use hibiscusbarrow_fleet::record::Record;
+//! use hibiscusbarrow_fleet::record::State;
+//!
+//! let job = Job { steps: vec![Step { count: 2, cpu: 500, ..Step::default() }], ..Job::default() };
+//! let record = Record::new(job);
+//! assert_eq!(record.state(), State::Queued);
+//! ```
+
+pub mod job;
+pub mod ledger;
+pub mod manifest;
+pub mod record;
+pub mod worker;
--- /dev/null
+++ b/crates/fleet/src/record.rs
@@ -0,0 +1,161 @@
+//! The stored record of a job.
+
+use crate::job::Job;
+use crate::worker::Boot;
+use serde::Deserialize;
+use serde::Serialize;
+use smol_str::SmolStr;
+
+/// Holds everything that must outlive the processes about one job.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Record {
+    /// The job as submitted.
+    pub job: Job,
+    /// Whether the owner cancelled the job.
+    #[serde(default)]
+    pub cancelled: bool,
+    /// Whether a task failed as often as the queue allows.
+    #[serde(default)]
+    pub failed: bool,
+    /// Milliseconds since the Unix epoch at the end; 0 before.
+    #[serde(default)]
+    pub ended: u64,
+    /// The tasks that have made progress: occurrence, step, index.
+    #[serde(default)]
+    pub tasks: Vec<(u32, u32, u32, Progress)>,
+}
+
+/// Holds the progress of one task.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default)]
+pub struct Progress {
+    /// Whether a run ended as done.
+    #[serde(rename = "d", skip_serializing_if = "is_false")]
+    pub done: bool,
+    /// Runs that ended as failed.
+    #[serde(rename = "f", skip_serializing_if = "is_none")]
+    pub failures: u32,
+    /// The number of the newest start.
+    #[serde(rename = "r")]
+    pub run: u64,
+    /// Where the newest start was ordered, until its end is known.
+    #[serde(rename = "p", skip_serializing_if = "Option::is_none")]
+    pub place: Option<Place>,
+    /// The newest checkpoint known when the record was written.
+    #[serde(rename = "c", skip_serializing_if = "SmolStr::is_empty")]
+    pub checkpoint: SmolStr,
+}
+
+/// Names the worker of a run.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Place {
+    /// The sidecar of the worker.
+    #[serde(rename = "n")]
+    pub node: SmolStr,
+    /// The life of the worker.
+    #[serde(rename = "b")]
+    pub boot: Boot,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
+fn is_none(value: &u32) -> bool {
+    *value == 0
+}
+
+/// Enumerates the states that callers see.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum State {
+    /// No task has started.
+    Queued,
+    /// A task has started.
+    Running,
+    /// All tasks ended as done.
+    Completed,
+    /// A task failed too often.
+    Failed,
+    /// The owner cancelled the job.
+    Cancelled,
+}
+
+impl Record {
+    /// Creates the record of a job that was just accepted.
+    pub fn new(job: Job) -> Self {
+        Self {
+            job,
+            cancelled: false,
+            failed: false,
+            ended: 0,
+            tasks: Vec::new(),
+        }
+    }
+
+    /// Returns the progress of a task, if it has made any.
+    pub fn find(&self, round: u32, step: u32, index: u32) -> Option<&Progress> {
+        let key = (round, step, index);
+        let at = self.tasks.binary_search_by_key(&key, |t| (t.0, t.1, t.2));
+        at.ok().map(|i| &self.tasks[i].3)
+    }
+
+    /// Returns the progress of a task to change it.
+    pub fn task(&mut self, round: u32, step: u32, index: u32) -> &mut Progress {
+        let key = (round, step, index);
+        let at = self.tasks.binary_search_by_key(&key, |t| (t.0, t.1, t.2));
+        let at = at.unwrap_or_else(|free| {
+            self.tasks.insert(free, (round, step, index, Progress::default()));
+            free
+        });
+        &mut self.tasks[at].3
+    }
+
+    /// Tells whether every task of a step of an occurrence is done.
+    pub fn step_done(&self, round: u32, step: u32) -> bool {
+        let from = self.tasks.partition_point(|t| (t.0, t.1) < (round, step));
+        let of_step = self.tasks[from..].iter();
+        let done = of_step.take_while(|t| (t.0, t.1) == (round, step)).filter(|t| t.3.done);
+        done.count() as u32 >= self.job.steps[step as usize].count
+    }
+
+    /// Tells whether every task of every occurrence is done.
+    pub fn all_done(&self) -> bool {
+        let done = self.tasks.iter().filter(|t| t.3.done).count() as u64;
+        let width: u64 = self.job.steps.iter().map(|s| u64::from(s.count)).sum();
+        done >= width * u64::from(self.job.rounds())
+    }
+
+    /// Tells whether nothing more may start.
+    pub fn is_over(&self) -> bool {
+        self.cancelled || self.failed || self.all_done()
+    }
+
+    /// Returns the state that callers see.
+    pub fn state(&self) -> State {
+        if self.all_done() {
+            State::Completed
+        } else if self.cancelled {
+            State::Cancelled
+        } else if self.failed {
+            State::Failed
+        } else if self.tasks.iter().any(|t| t.3.run > 0) {
+            State::Running
+        } else {
+            State::Queued
+        }
+    }
+
+    /// Encodes the record for the store.
+    pub fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).expect("a record serialises to JSON")
+    }
+
+    /// Decodes a stored record.
+    ///
+    /// # Errors
+    ///
+    /// Fails if the bytes are not a record.
+    pub fn decode(bytes: &[u8]) -> Result<Self, serde_json::Error> {
+        serde_json::from_slice(bytes)
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/suite/main.rs
@@ -0,0 +1,1 @@
+//! Tests of the ledger.
--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -35,6 +35,7 @@
     Started = 1001, "The process started and listens.";
     DrainBegan = 1002, "The process stopped taking new work.";
     Stopped = 1003, "The process finished its work and stopped.";
+    Reloaded = 1004, "The settings were read again.";
     MemberJoined = 1101, "A member was seen alive.";
     MemberSuspected = 1102, "A member stopped answering and is suspected.";
     MemberDied = 1103, "A member is considered dead.";
@@ -60,11 +61,26 @@
     JobPreempted = 1606, "A job was preempted in favour of a guarantee.";
     JobRequeued = 1607, "A job lost its gang and waits again.";
     JobParked = 1608, "A job cannot run on the hardware at hand and is parked.";
+    JobRefused = 1609, "A request about a job was refused.";
+    JobPlaced = 1610, "Starts of tasks were decided; their intents are being stored.";
+    RunEnded = 1611, "A worker listed the end of a run.";
+    RunStopped = 1612, "A run was ordered to stop.";
+    RunLost = 1613, "A run is over without a listed end.";
+    RunAdopted = 1614, "A run was found on a worker after its order was in doubt.";
+    StartFailed = 1615, "The start of a run was refused or got no answer.";
+    RunPaced = 1616, "A run was told to work at another share.";
+    JobAnswered = 1617, "The owner was told the state of a job.";
+    PolicyAnswered = 1618, "The policy of a queue answered, or failed to.";
     WorkerSeen = 1701, "A worker reported to the placer.";
     WorkerLost = 1702, "A worker stopped reporting.";
     WorkerQuarantined = 1703, "A worker failed too many tasks and is quarantined.";
+    WorkerDraining = 1704, "A worker is leaving and gets no more work.";
+    BeatRefused = 1705, "A heartbeat could not be read, or was older than the newest one.";
+    OrderRefused = 1706, "A sidecar or its worker refused an order, or did not answer it.";
     StoreDown = 1801, "The key-value service stopped answering.";
     StoreBack = 1802, "The key-value service answers again.";
+    MirrorReset = 1803, "The history of the store is gone; its content is read again.";
+    StoreConflict = 1804, "A write met another revision than it named.";
     PeerRefused = 1901, "A malformed or forged message was dropped.";
 }
 
--- /dev/null
+++ b/crates/roles/src/fleet/agent.rs
@@ -0,0 +1,237 @@
+//! The sidecar of a fleet: hears the worker beside it and passes orders on.
+
+use super::Shared;
+use super::keys;
+use super::placer::ORDERS;
+use super::port::Beat;
+use super::port::Txn;
+use super::port::Worker;
+use super::serve_metrics;
+use anyhow::Context;
+use bytes::Bytes;
+use compio::net::TcpListener;
+use compio::time::sleep;
+use hibiscusbarrow_adapters::http::Limits;
+use hibiscusbarrow_adapters::http::Reply;
+use hibiscusbarrow_adapters::http::Request;
+use hibiscusbarrow_adapters::http::serve;
+use hibiscusbarrow_adapters::http::text_reply;
+use hibiscusbarrow_adapters::rpc;
+use hibiscusbarrow_adapters::rpc::ForwardReply;
+use hibiscusbarrow_adapters::rpc::ForwardRequest;
+use hibiscusbarrow_adapters::rpc::Handlers;
+use hibiscusbarrow_adapters::signal::Flag;
+use hibiscusbarrow_fleet::worker::Announcement;
+use hibiscusbarrow_fleet::worker::Answer;
+use hibiscusbarrow_fleet::worker::Envelope;
+use hibiscusbarrow_fleet::worker::Order;
+use hibiscusbarrow_fleet::worker::Refusal;
+use hibiscusbarrow_model::code::Code;
+use hibiscusbarrow_model::event::Event;
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A sidecar that heard no placer for this long enters its address again.
+const UNHEARD: Duration = Duration::from_secs(6);
+/// The pause before the address is entered again after a failure.
+const RETRY: Duration = Duration::from_millis(300);
+/// Time for answers in flight at a planned stop.
+const FAREWELL: Duration = Duration::from_millis(300);
+
+struct Agent {
+    shared: Rc<Shared>,
+    worker: Worker,
+    announced: RefCell<Option<Announcement>>,
+    /// The highest epoch of a placer.
+    epoch: Cell<u64>,
+    /// When an order last arrived.
+    heard: Cell<Duration>,
+}
+
+/// Runs a sidecar until it is asked to stop.
+///
+/// # Errors
+///
+/// Fails if an address of the settings is missing or cannot be bound.
+pub async fn run(shared: Rc<Shared>, worker: Worker) -> anyhow::Result<()> {
+    let settings = &shared.settings;
+    let beats = settings.beats.context("the settings name no address for heartbeats")?;
+    let beats = TcpListener::bind(beats).await.context("binding for heartbeats")?;
+    let peers = TcpListener::bind(settings.peer).await.context("binding for peers")?;
+    serve_metrics(shared.metrics.clone(), settings.metrics);
+    let detail = format!("sidecar beats={:?} peer={}", settings.beats, settings.peer);
+    shared.log.note(Event::Started, settings.name.clone(), detail);
+    let agent = Rc::new(Agent {
+        worker,
+        announced: RefCell::new(None),
+        epoch: Cell::new(0),
+        heard: Cell::new(shared.clock.now()),
+        shared: shared.clone(),
+    });
+    compio::runtime::spawn(agent.clone().enter()).detach();
+    compio::runtime::spawn(agent.clone().serve_orders(peers)).detach();
+    let handler = {
+        let agent = agent.clone();
+        move |request: Request| {
+            let reply = agent.beat(&request);
+            async move { reply }
+        }
+    };
+    let serving = serve(beats, Limits::default(), Flag::default(), handler);
+    compio::runtime::spawn(serving).detach();
+    shared.stop.wait().await;
+    sleep(FAREWELL).await;
+    shared.log.note(Event::Stopped, shared.settings.name.clone(), "orders answered");
+    Ok(())
+}
+
+impl Agent {
+    /// Enters the own address so that the placer finds it.
+    async fn enter(self: Rc<Self>) {
+        let settings = &self.shared.settings;
+        let txn = Txn {
+            puts: vec![(
+                keys::worker(&settings.name),
+                Bytes::from(settings.peer.to_string()),
+                0,
+            )],
+            ..Txn::default()
+        };
+        loop {
+            match (self.shared.store.commit)(txn.clone()).await {
+                Ok(_) => self.wait_unheard().await,
+                Err(_) => sleep(RETRY).await,
+            }
+        }
+    }
+
+    async fn wait_unheard(&self) {
+        let entered = self.shared.clock.now();
+        loop {
+            let last = self.heard.get().max(entered);
+            let quiet = self.shared.clock.now() - last;
+            if quiet >= UNHEARD {
+                return;
+            }
+            sleep(UNHEARD - quiet).await;
+        }
+    }
+
+    fn beat(&self, request: &Request) -> Reply {
+        match (self.worker.beat)(request) {
+            Ok(Beat::Alive(announcement)) => self.hear(announcement),
+            Ok(Beat::Left(id)) => {
+                let mut held = self.announced.borrow_mut();
+                if held.as_ref().is_some_and(|a| a.boot.id == id) {
+                    *held = None;
+                    self.shared.log.note(Event::UpstreamLeaving, id, "the worker has left");
+                }
+                text_reply(200, "")
+            }
+            Err(detail) => {
+                let log = &self.shared.log;
+                log.note(Event::BeatRefused, self.shared.settings.name.clone(), detail);
+                text_reply(400, "")
+            }
+        }
+    }
+
+    fn hear(&self, news: Announcement) -> Reply {
+        let mut held = self.announced.borrow_mut();
+        if let Some(known) = held.as_ref() {
+            let older = news.boot.born < known.boot.born;
+            let repeated = news.boot == known.boot && news.sequence < known.sequence;
+            if older || repeated {
+                let detail = format!(
+                    "born={} sequence={} known: born={} sequence={}",
+                    news.boot.born, news.sequence, known.boot.born, known.sequence
+                );
+                self.shared.log.note(Event::BeatRefused, news.boot.id, detail);
+                return text_reply(200, "");
+            }
+        }
+        let before = held.as_ref().map(|a| (a.boot.clone(), a.draining));
+        if before != Some((news.boot.clone(), news.draining)) {
+            let detail = format!(
+                "born={} draining={} sequence={} room={:?} labels={:?}",
+                news.boot.born, news.draining, news.sequence, news.room, news.labels
+            );
+            let event = if news.draining {
+                Event::UpstreamLeaving
+            } else {
+                Event::UpstreamAnnounced
+            };
+            self.shared.log.note(event, news.boot.id.clone(), detail);
+        }
+        *held = Some(news);
+        text_reply(200, "{}")
+    }
+
+    async fn serve_orders(self: Rc<Self>, listener: TcpListener) {
+        let agent = self.clone();
+        let handlers = Handlers {
+            forward: Rc::new(move |request| Box::pin(agent.clone().pass(request))),
+            config: Rc::new(|_| None),
+        };
+        rpc::serve(listener, handlers, Flag::default()).await;
+    }
+
+    async fn pass(self: Rc<Self>, request: ForwardRequest) -> ForwardReply {
+        let envelope: Result<Envelope, _> = serde_json::from_slice(&request.body);
+        let envelope = match envelope {
+            Ok(envelope) if request.service == ORDERS => envelope,
+            _ => {
+                self.shared.log.note(Event::PeerRefused, "order", "unreadable order");
+                return ForwardReply::failure(Code::BadRequest, "unreadable order");
+            }
+        };
+        self.heard.set(self.shared.clock.now());
+        let answer = self.obey(envelope).await;
+        ForwardReply {
+            code: Code::Done,
+            body: Bytes::from(serde_json::to_vec(&answer).expect("an answer serialises")),
+            ..ForwardReply::failure(Code::Done, "")
+        }
+    }
+
+    async fn obey(&self, envelope: Envelope) -> Answer {
+        if envelope.epoch < self.epoch.get() {
+            return Answer::Refused(Refusal::Epoch);
+        }
+        self.epoch.set(envelope.epoch);
+        let Some(announced) = self.announced.borrow().clone() else {
+            return Answer::Refused(Refusal::Boot);
+        };
+        let mut envelope = envelope;
+        if envelope.boot != announced.boot.id {
+            match &mut envelope.order {
+                // Neither the numbers of ends nor the clock of a former life apply.
+                Order::Look { seen, deadline, wait } => {
+                    (*seen, *deadline, *wait) = (0, None, 0);
+                }
+                _ => return Answer::Refused(Refusal::Boot),
+            }
+        }
+        let starts = matches!(envelope.order, Order::Start(_));
+        if starts && (announced.draining || self.shared.stop.is_raised()) {
+            return Answer::Refused(Refusal::Draining);
+        }
+        let answer = (self.worker.order)(envelope.clone(), announced).await;
+        match answer {
+            // The newest heartbeat may have arrived while the worker was asked.
+            Answer::Listed(_, listing) => match self.announced.borrow().clone() {
+                Some(newest) => Answer::Listed(Box::new(newest), listing),
+                None => Answer::Refused(Refusal::Boot),
+            },
+            Answer::Accepted => answer,
+            Answer::Refused(_) | Answer::Silent => {
+                let detail = format!("epoch={} {:?}: {answer:?}", envelope.epoch, envelope.order);
+                let log = &self.shared.log;
+                log.note(Event::OrderRefused, self.shared.settings.name.clone(), detail);
+                answer
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/roles/src/fleet/front.rs
@@ -0,0 +1,338 @@
+//! Serving callers: accepting, showing and cancelling jobs.
+
+use super::Shared;
+use super::keys;
+use super::mirror::Mirror;
+use super::port::Callers;
+use super::port::Item;
+use super::port::Outcome;
+use super::port::StoreError;
+use super::port::Txn;
+use bytes::Bytes;
+use compio::time::sleep;
+use hibiscusbarrow_adapters::http::Reply;
+use hibiscusbarrow_adapters::http::Request;
+use hibiscusbarrow_adapters::http::text_reply;
+use hibiscusbarrow_fleet::job::Job;
+use hibiscusbarrow_fleet::manifest::Account;
+use hibiscusbarrow_fleet::manifest::Manifest;
+use hibiscusbarrow_fleet::manifest::Queue;
+use hibiscusbarrow_fleet::record::Record;
+use hibiscusbarrow_fleet::record::State;
+use hibiscusbarrow_model::code::Code;
+use hibiscusbarrow_model::event::Event;
+use http::HeaderValue;
+use http::Method;
+use http::header;
+use smol_str::SmolStr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The wait of a caller that names none.
+const DEFAULT_LIMIT: Duration = Duration::from_secs(3);
+/// Time for the answer to reach the caller.
+const ANSWER_MARGIN: Duration = Duration::from_millis(250);
+/// The pause before a call to the store is repeated.
+const RETRY: Duration = Duration::from_millis(60);
+/// When a refused caller should come back, in seconds.
+const COME_BACK: &str = "1";
+/// Refusals of the store after which a caller is told to come back.
+const MAX_REFUSALS: u32 = 3;
+
+/// Serves callers of one gateway.
+pub struct Front {
+    /// What the tasks of the process share.
+    pub shared: Rc<Shared>,
+    /// The copy of the store.
+    pub mirror: Rc<Mirror>,
+    /// Translates requests.
+    pub callers: Callers,
+}
+
+/// Holds a request that was checked against the manifest.
+struct Admitted {
+    queue: Queue,
+    account: SmolStr,
+    rest: SmolStr,
+    version: u64,
+    /// When the answer must be on its way.
+    until: Duration,
+}
+
+impl Front {
+    /// Answers one request.
+    pub async fn handle(self: Rc<Self>, request: Request) -> Reply {
+        let began = self.shared.clock.now();
+        let path = request.path.clone();
+        let method = request.method.clone();
+        let (code, reply) = self.dispatch(request, began).await;
+        let elapsed = self.shared.clock.now() - began;
+        self.shared.metrics.request(code.number(), elapsed);
+        let explained = code != Code::Done || reply.status() == 410;
+        if explained || elapsed > Duration::from_millis(500) {
+            let subject = path.rsplit('/').next().unwrap_or("").to_owned();
+            let version = self.mirror.manifest().map_or(0, |m| m.version);
+            let detail = format!(
+                "{method} {path} status={} code={code} manifest={version} after={elapsed:?}",
+                reply.status().as_u16()
+            );
+            self.shared.log.note(Event::JobRefused, subject, detail);
+        }
+        reply
+    }
+
+    async fn dispatch(&self, request: Request, began: Duration) -> (Code, Reply) {
+        let Some(manifest) = self.mirror.manifest() else {
+            return (Code::NotReady, come_back(503));
+        };
+        let admitted = match self.admit(&manifest, &request, began) {
+            Ok(admitted) => admitted,
+            Err(code) => return (code, text_reply(code_status(code), "")),
+        };
+        let is_id = (self.callers.is_id)(&admitted.rest);
+        match request.method {
+            Method::GET if admitted.rest.is_empty() => self.count_waiting(&admitted),
+            Method::GET if is_id => self.show(&admitted).await,
+            Method::POST if is_id => self.submit(&admitted, &request.body).await,
+            Method::DELETE if is_id => self.cancel(&admitted).await,
+            _ => (Code::UnknownService, text_reply(404, "")),
+        }
+    }
+
+    fn admit(
+        &self,
+        manifest: &Manifest,
+        request: &Request,
+        began: Duration,
+    ) -> Result<Admitted, Code> {
+        let host = request.header("host");
+        let (queue, rest) = manifest.route(host, &request.path).ok_or(Code::UnknownService)?;
+        let key = (self.callers.key)(request);
+        let account: Option<&Account> = key.and_then(|k| manifest.account(&k));
+        if account.is_none() && !queue.public {
+            return Err(Code::UnknownAccount);
+        }
+        let limit = (self.callers.limit)(request).unwrap_or(DEFAULT_LIMIT);
+        Ok(Admitted {
+            queue: queue.clone(),
+            account: account.map(|a| a.name.clone()).unwrap_or_default(),
+            rest: rest.into(),
+            version: manifest.version,
+            until: began + limit.saturating_sub(ANSWER_MARGIN),
+        })
+    }
+
+    fn count_waiting(&self, admitted: &Admitted) -> (Code, Reply) {
+        let jobs = self.mirror.jobs.borrow();
+        let of_queue = jobs.values().filter(|s| s.record.job.queue == admitted.queue.name);
+        let waiting = of_queue.filter(|s| s.record.state() == State::Queued).count();
+        (Code::Done, json((self.callers.waiting)(waiting as u64)))
+    }
+
+    async fn show(&self, admitted: &Admitted) -> (Code, Reply) {
+        let id = &admitted.rest;
+        if let Some(stored) = self.mirror.job(id) {
+            return (Code::Done, self.state_reply(stored.record.state()));
+        }
+        match self.read(id, admitted.until).await {
+            Ok(Some((record, _))) => (Code::Done, self.state_reply(record.state())),
+            Ok(None) => (Code::JobUnknown, text_reply(410, "")),
+            Err(code) => (code, come_back(code_status(code))),
+        }
+    }
+
+    fn state_reply(&self, state: State) -> Reply {
+        json((self.callers.state)(state))
+    }
+
+    async fn submit(&self, admitted: &Admitted, body: &[u8]) -> (Code, Reply) {
+        let job = match self.job(admitted, body) {
+            Ok(job) => job,
+            Err(detail) => {
+                self.shared.log.note(Event::JobRefused, admitted.rest.clone(), detail.clone());
+                return (Code::BadRequest, text_reply(400, detail));
+            }
+        };
+        let id = admitted.rest.clone();
+        let record = Rc::new(Record::new(job));
+        let txn = Txn {
+            conditions: vec![(keys::job(&id), 0)],
+            puts: vec![(keys::job(&id), Bytes::from(record.encode()), 0)],
+            deletes: Vec::new(),
+        };
+        let mut doubt = false;
+        let mut refusals = 0;
+        loop {
+            match (self.shared.store.commit)(txn.clone()).await {
+                Ok(Outcome::Committed(revision)) => {
+                    self.accepted(admitted, &record, revision);
+                    return (Code::Done, json(Bytes::from_static(b"{}")));
+                }
+                Ok(Outcome::Conflict(items)) => return self.repeated(admitted, &record, &items),
+                Ok(Outcome::NoLease) | Err(StoreError::Refused(_) | StoreError::Compacted) => {
+                    refusals += 1;
+                }
+                Err(StoreError::Unknown(_)) => doubt = true,
+            }
+            let out_of_time = self.shared.clock.now() + RETRY > admitted.until;
+            if out_of_time && doubt {
+                return (Code::AcceptUnknown, text_reply(504, ""));
+            }
+            if !doubt && (out_of_time || refusals >= MAX_REFUSALS) {
+                return (Code::NotAccepted, come_back(503));
+            }
+            sleep(RETRY).await;
+        }
+    }
+
+    fn job(&self, admitted: &Admitted, body: &[u8]) -> Result<Job, String> {
+        let submission = (self.callers.job)(body)?;
+        let job = Job {
+            id: admitted.rest.clone(),
+            queue: admitted.queue.name.clone(),
+            service: admitted.queue.service.clone(),
+            account: admitted.account.clone(),
+            priority: admitted.queue.priority,
+            attempts: admitted.queue.attempts,
+            policy: admitted.queue.policy,
+            accepted: self.shared.clock.wall_ms(),
+            spec: submission.spec,
+            steps: submission.steps,
+            schedule: submission.schedule,
+        };
+        job.check().map(|()| job)
+    }
+
+    fn accepted(&self, admitted: &Admitted, record: &Rc<Record>, revision: u64) {
+        let id = &admitted.rest;
+        self.mirror.put_job(id, record.clone(), revision);
+        let detail = format!(
+            "queue={} priority={} steps={} revision={revision} manifest={}",
+            admitted.queue.name,
+            admitted.queue.priority,
+            record.job.steps.len(),
+            admitted.version
+        );
+        let account = admitted.account.clone();
+        self.shared.log.note_for(Event::JobAccepted, id.clone(), account, detail);
+    }
+
+    /// Answers a job that is stored already.
+    fn repeated(&self, admitted: &Admitted, record: &Record, items: &[Item]) -> (Code, Reply) {
+        let held = items.iter().find_map(|i| Some((i.value.as_ref()?, i.revision)));
+        let stored = held.and_then(|(v, r)| Some((Record::decode(v).ok()?, r)));
+        let same = stored.as_ref().is_some_and(|(held, _)| {
+            held.job.spec == record.job.spec && held.job.steps == record.job.steps
+        });
+        if !same {
+            return (Code::JobExists, text_reply(409, ""));
+        }
+        if let Some((held, revision)) = stored {
+            self.accepted(admitted, &Rc::new(held), revision);
+        }
+        (Code::Done, json(Bytes::from_static(b"{}")))
+    }
+
+    async fn cancel(&self, admitted: &Admitted) -> (Code, Reply) {
+        let id = &admitted.rest;
+        let mut held = self.mirror.job(id).map(|s| ((*s.record).clone(), s.revision));
+        let mut doubt = false;
+        loop {
+            if held.is_none() {
+                held = match self.read(id, admitted.until).await {
+                    Ok(Some(found)) => Some(found),
+                    Ok(None) => return (Code::JobUnknown, text_reply(410, "")),
+                    Err(code) => return (code, come_back(code_status(code))),
+                };
+            }
+            let Some((record, revision)) = held.as_mut() else {
+                continue;
+            };
+            if record.is_over() {
+                return (Code::Done, json(Bytes::from_static(b"{}")));
+            }
+            record.cancelled = true;
+            let txn = Txn {
+                conditions: vec![(keys::job(id), *revision)],
+                puts: vec![(keys::job(id), Bytes::from(record.encode()), 0)],
+                deletes: Vec::new(),
+            };
+            match (self.shared.store.commit)(txn).await {
+                Ok(Outcome::Committed(revision)) => {
+                    let record = Rc::new(record.clone());
+                    self.mirror.put_job(id, record, revision);
+                    let detail = format!("revision={revision} manifest={}", admitted.version);
+                    let account = admitted.account.clone();
+                    let log = &self.shared.log;
+                    log.note_for(Event::JobCancelled, id.clone(), account, detail);
+                    return (Code::Done, json(Bytes::from_static(b"{}")));
+                }
+                Ok(Outcome::Conflict(items)) => {
+                    let item = items.into_iter().find(|i| i.key == keys::job(id));
+                    held = item.and_then(|i| Some((Record::decode(&i.value?).ok()?, i.revision)));
+                    continue;
+                }
+                Ok(Outcome::NoLease) | Err(StoreError::Refused(_) | StoreError::Compacted) => {
+                    record.cancelled = false;
+                }
+                Err(StoreError::Unknown(_)) => {
+                    doubt = true;
+                    record.cancelled = false;
+                }
+            }
+            if self.shared.clock.now() + RETRY > admitted.until {
+                let code = if doubt { Code::AcceptUnknown } else { Code::NotAccepted };
+                return (code, come_back(code_status(code)));
+            }
+            sleep(RETRY).await;
+        }
+    }
+
+    /// Reads a record from the store until the caller's time is up.
+    async fn read(&self, id: &SmolStr, until: Duration) -> Result<Option<(Record, u64)>, Code> {
+        loop {
+            match (self.shared.store.get)(keys::job(id)).await {
+                Ok(None) => return Ok(None),
+                Ok(Some(item)) => {
+                    let value = item.value.unwrap_or_default();
+                    return match Record::decode(&value) {
+                        Ok(record) => {
+                            let shown = Rc::new(record.clone());
+                            self.mirror.put_job(id, shown, item.revision);
+                            Ok(Some((record, item.revision)))
+                        }
+                        Err(e) => {
+                            let detail = format!("the record is unreadable: {e}");
+                            self.shared.log.note(Event::PeerRefused, id.clone(), detail);
+                            Err(Code::Internal)
+                        }
+                    };
+                }
+                Err(_) if self.shared.clock.now() + RETRY > until => return Err(Code::StoreDown),
+                Err(_) => sleep(RETRY).await,
+            }
+        }
+    }
+}
+
+/// Returns the status that callers of the fleet see for a code.
+fn code_status(code: Code) -> u16 {
+    match code {
+        Code::UnknownAccount => 401,
+        other => other.status(),
+    }
+}
+
+fn json(body: Bytes) -> Reply {
+    let mut reply = text_reply(200, body);
+    let kind = HeaderValue::from_static("application/json");
+    reply.headers_mut().insert(header::CONTENT_TYPE, kind);
+    reply
+}
+
+fn come_back(status: u16) -> Reply {
+    let mut reply = text_reply(status, "");
+    let wait = HeaderValue::from_static(COME_BACK);
+    reply.headers_mut().insert(header::RETRY_AFTER, wait);
+    reply
+}
--- /dev/null
+++ b/crates/roles/src/fleet/gateway.rs
@@ -0,0 +1,111 @@
+//! The gateway of a fleet: serves callers, and may be the placer.
+
+use super::Shared;
+use super::front::Front;
+use super::keys;
+use super::lead;
+use super::mirror;
+use super::mirror::Mirror;
+use super::port::Advisor;
+use super::port::Callers;
+use super::port::Txn;
+use super::serve_metrics;
+use anyhow::Context;
+use bytes::Bytes;
+use compio::net::TcpListener;
+use compio::time::sleep;
+use hibiscusbarrow_adapters::http::Limits;
+use hibiscusbarrow_adapters::http::serve;
+use hibiscusbarrow_adapters::http::text_reply;
+use hibiscusbarrow_adapters::rpc;
+use hibiscusbarrow_adapters::rpc::Handlers;
+use hibiscusbarrow_adapters::rpc::RpcClient;
+use hibiscusbarrow_adapters::signal::Flag;
+use hibiscusbarrow_model::code::Code;
+use hibiscusbarrow_model::event::Event;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The part of the grace during which new connections are still served.
+const NOTICE_SHARE: u32 = 2;
+/// The pause before the own address is entered again after a failure.
+const ENTER_PAUSE: Duration = Duration::from_millis(300);
+
+/// Runs a gateway until it is asked to stop.
+///
+/// # Errors
+///
+/// Fails if an address of the settings is missing or cannot be bound.
+pub async fn run(shared: Rc<Shared>, callers: Callers, advisor: Advisor) -> anyhow::Result<()> {
+    let settings = &shared.settings;
+    let front = settings.front.context("the settings name no address for callers")?;
+    let ready = settings.ready.context("the settings name no address for the balancer")?;
+    let front = TcpListener::bind(front).await.context("binding for callers")?;
+    let ready = TcpListener::bind(ready).await.context("binding for the balancer")?;
+    let peers = TcpListener::bind(settings.peer).await.context("binding for peers")?;
+    serve_metrics(shared.metrics.clone(), settings.metrics);
+    let mirror = Rc::new(Mirror::default());
+    let rpc = Rc::new(RpcClient::default());
+    let detail = format!("gateway callers={:?} peer={}", settings.front, settings.peer);
+    shared.log.note(Event::Started, settings.name.clone(), detail);
+
+    spawn(mirror::follow(shared.clone(), mirror.clone()));
+    spawn(mirror::ask_peers(shared.clone(), mirror.clone(), rpc.clone()));
+    spawn(enter(shared.clone()));
+    spawn(serve_peers(peers, mirror.clone()));
+    spawn(serve_ready(ready, shared.clone(), mirror.clone()));
+    let leading = compio::runtime::spawn(lead::run(shared.clone(), mirror.clone(), rpc, advisor));
+
+    let limits = Limits {
+        connections: settings.connections,
+        notice: settings.grace / NOTICE_SHARE,
+        ..Limits::default()
+    };
+    let handler = Rc::new(Front {
+        shared: shared.clone(),
+        mirror,
+        callers,
+    });
+    let handle = move |request| handler.clone().handle(request);
+    serve(front, limits, shared.stop.clone(), handle).await;
+    let _ = leading.await;
+    shared.log.note(Event::Stopped, shared.settings.name.clone(), "all requests answered");
+    Ok(())
+}
+
+fn spawn(task: impl Future<Output = ()> + 'static) {
+    compio::runtime::spawn(task).detach();
+}
+
+/// Enters the own address so that other gateways find it.
+async fn enter(shared: Rc<Shared>) {
+    let settings = &shared.settings;
+    let txn = Txn {
+        puts: vec![(
+            keys::gateway(&settings.name),
+            Bytes::from(settings.peer.to_string()),
+            0,
+        )],
+        ..Txn::default()
+    };
+    while (shared.store.commit)(txn.clone()).await.is_err() {
+        sleep(ENTER_PAUSE).await;
+    }
+}
+
+async fn serve_peers(listener: TcpListener, mirror: Rc<Mirror>) {
+    let handlers = Handlers {
+        forward: Rc::new(|_| Box::pin(async { rpc::ForwardReply::failure(Code::UnknownService, "") })),
+        config: Rc::new(move |above| mirror.manifest_above(above)),
+    };
+    rpc::serve(listener, handlers, Flag::default()).await;
+}
+
+async fn serve_ready(listener: TcpListener, shared: Rc<Shared>, mirror: Rc<Mirror>) {
+    let handler = move |_| {
+        let fresh = mirror.is_fresh(shared.clock.now());
+        let able = fresh && mirror.manifest().is_some() && !shared.stop.is_raised();
+        async move { text_reply(if able { 200 } else { 503 }, "") }
+    };
+    serve(listener, Limits::default(), Flag::default(), handler).await;
+}
--- /dev/null
+++ b/crates/roles/src/fleet/mod.rs
@@ -0,0 +1,55 @@
+//! Roles that run multi-step jobs on a fleet whose state lives in one store.
+//!
+//! Gateways serve callers and mirror the store; one of them is the placer under
+//! a lease. Sidecars pass orders on to the worker beside them. What differs
+//! between platforms stands behind the ports in [`port`].
+
+pub mod agent;
+mod front;
+pub mod gateway;
+mod keys;
+mod lead;
+mod mirror;
+mod placer;
+pub mod port;
+
+use hibiscusbarrow_adapters::http::Limits;
+use hibiscusbarrow_adapters::http::serve;
+use hibiscusbarrow_adapters::http::text_reply;
+use hibiscusbarrow_adapters::log::EventLog;
+use hibiscusbarrow_adapters::metrics::Metrics;
+use hibiscusbarrow_adapters::signal::Flag;
+use hibiscusbarrow_coordination::clock::Clock;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Holds what the tasks of one process share.
+pub struct Shared {
+    /// The settings.
+    pub settings: port::Settings,
+    /// The clock, which counts the time that the machine is suspended.
+    pub clock: Clock,
+    /// The event log.
+    pub log: EventLog,
+    /// The instruments.
+    pub metrics: Rc<Metrics>,
+    /// The store.
+    pub store: port::Store,
+    /// Raised when a planned stop begins.
+    pub stop: Flag,
+}
+
+/// Serves the metrics of a process until it ends.
+fn serve_metrics(metrics: Rc<Metrics>, addr: SocketAddr) {
+    compio::runtime::spawn(async move {
+        let handler = move |_| {
+            let body = metrics.render();
+            async move { text_reply(200, body) }
+        };
+        let listener = compio::net::TcpListener::bind(addr).await;
+        if let Ok(listener) = listener {
+            serve(listener, Limits::default(), Flag::default(), handler).await;
+        }
+    })
+    .detach();
+}
--- /dev/null
+++ b/crates/roles/src/fleet/placer.rs
@@ -0,0 +1,498 @@
+//! The placer: drives the ledger with what the store and the workers say.
+
+use super::Shared;
+use super::keys;
+use super::lead::Tenure;
+use super::mirror::Change;
+use super::mirror::Mirror;
+use super::port::Advisor;
+use super::port::Item;
+use super::port::Outcome;
+use super::port::StoreError;
+use super::port::Txn;
+use bytes::Bytes;
+use compio::time::sleep;
+use futures_channel::mpsc;
+use futures_util::StreamExt;
+use futures_util::future::Either;
+use futures_util::future::select;
+use hibiscusbarrow_adapters::rpc::ForwardRequest;
+use hibiscusbarrow_adapters::rpc::RpcClient;
+use hibiscusbarrow_adapters::rpc::RpcError;
+use hibiscusbarrow_fleet::ledger::Batch;
+use hibiscusbarrow_fleet::ledger::Decision;
+use hibiscusbarrow_fleet::ledger::Effect;
+use hibiscusbarrow_fleet::ledger::Inquiry;
+use hibiscusbarrow_fleet::ledger::Ledger;
+use hibiscusbarrow_fleet::ledger::Note;
+use hibiscusbarrow_fleet::record::Record;
+use hibiscusbarrow_fleet::worker::Answer;
+use hibiscusbarrow_fleet::worker::Boot;
+use hibiscusbarrow_fleet::worker::Envelope;
+use hibiscusbarrow_fleet::worker::Order;
+use hibiscusbarrow_model::code::Code;
+use hibiscusbarrow_model::event::Event;
+use smol_str::SmolStr;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The name under which orders reach a sidecar.
+pub const ORDERS: &str = "orders";
+
+/// The longest time between two plans.
+const TICK: Duration = Duration::from_millis(100);
+/// Time for an order to be answered beyond the wait that it asks for.
+const ORDER_LIMIT: Duration = Duration::from_millis(1_200);
+/// The attempts to start a run before its outcome is in doubt.
+const ATTEMPTS: u32 = 2;
+/// The pause before a silent worker is looked at again.
+const LOOK_PAUSE: Duration = Duration::from_millis(250);
+/// The wait for the store before a worker with unstored ends is looked at again.
+const STORE_WAIT: Duration = Duration::from_millis(250);
+/// The pause before a write is repeated.
+const WRITE_PAUSE: Duration = Duration::from_millis(40);
+
+/// Enumerates what reaches the placer's task.
+enum Input {
+    Changed(Change),
+    Looked(SmolStr, Duration, Answer),
+    LookDue(SmolStr),
+    Answered(SmolStr, Boot, Order, Answer, bool),
+    Stored(Batch, Stored),
+    Advised(Inquiry, Duration, Option<Vec<(SmolStr, SmolStr)>>),
+}
+
+/// Enumerates how a write ended.
+enum Stored {
+    At(u64),
+    Conflict(Vec<Item>),
+    Deposed,
+}
+
+struct Placer {
+    shared: Rc<Shared>,
+    mirror: Rc<Mirror>,
+    rpc: Rc<RpcClient>,
+    advisor: Advisor,
+    tenure: Rc<Tenure>,
+    ledger: Ledger,
+    sender: mpsc::UnboundedSender<Input>,
+    writing: bool,
+    /// Orders that wait for the lease to be renewed.
+    queued: VecDeque<Effect>,
+    /// Workers that are being looked at.
+    looking: BTreeSet<SmolStr>,
+    /// Workers whose ends are being stored.
+    waiting: BTreeSet<SmolStr>,
+    silent: BTreeSet<SmolStr>,
+}
+
+/// Places jobs until the lease is lost or the process stops.
+pub async fn run(
+    shared: &Rc<Shared>,
+    mirror: &Rc<Mirror>,
+    rpc: &Rc<RpcClient>,
+    advisor: &Advisor,
+    tenure: &Rc<Tenure>,
+) {
+    let mut changes = mirror.subscribe();
+    while mirror.at() < tenure.epoch {
+        if tenure.lost.is_raised() || shared.stop.is_raised() {
+            return;
+        }
+        sleep(Duration::from_millis(2)).await;
+    }
+    let (sender, mut events) = mpsc::unbounded();
+    let now = shared.clock.now();
+    let mut placer = Placer {
+        shared: shared.clone(),
+        mirror: mirror.clone(),
+        rpc: rpc.clone(),
+        advisor: advisor.clone(),
+        tenure: tenure.clone(),
+        ledger: Ledger::new(shared.settings.bounds, tenure.epoch, now),
+        sender,
+        writing: false,
+        queued: VecDeque::new(),
+        looking: BTreeSet::new(),
+        waiting: BTreeSet::new(),
+        silent: BTreeSet::new(),
+    };
+    placer.load();
+    loop {
+        while let Ok(change) = changes.try_recv() {
+            placer.take(Input::Changed(change));
+        }
+        while let Ok(event) = events.try_recv() {
+            placer.take(event);
+        }
+        let over = tenure.lost.is_raised() || placer.ledger.is_fenced();
+        if over || shared.stop.is_raised() {
+            return;
+        }
+        placer.act();
+        let next = select(changes.next(), events.next());
+        match select(next, pin!(sleep(TICK))).await {
+            Either::Left((Either::Left((Some(change), _)), _)) => {
+                placer.take(Input::Changed(change));
+            }
+            Either::Left((Either::Right((Some(event), _)), _)) => placer.take(event),
+            _ => {}
+        }
+    }
+}
+
+impl Placer {
+    fn load(&mut self) {
+        let now = self.shared.clock.now();
+        if let Some(manifest) = self.mirror.manifest() {
+            self.ledger.set_manifest(manifest);
+        }
+        for stored in self.mirror.jobs.borrow().values() {
+            let record = (*stored.record).clone();
+            self.ledger.put_job(record, stored.revision, now);
+        }
+        let workers: Vec<_> = {
+            let workers = self.mirror.workers.borrow();
+            workers.iter().map(|(n, a)| (n.clone(), *a)).collect()
+        };
+        for (name, addr) in workers {
+            self.meet(name, addr);
+        }
+    }
+
+    fn meet(&mut self, name: SmolStr, addr: SocketAddr) {
+        self.ledger.put_worker(name.clone(), addr);
+        self.look(name);
+    }
+
+    fn take(&mut self, event: Input) {
+        let now = self.shared.clock.now();
+        match event {
+            Input::Changed(change) => self.changed(change, now),
+            Input::Looked(node, sent, answer) => self.looked(node, sent, answer, now),
+            Input::LookDue(node) => self.look(node),
+            Input::Answered(node, boot, order, answer, doubtful) => {
+                self.ledger.answered(&node, &boot, &order, &answer, doubtful, now);
+            }
+            Input::Stored(batch, stored) => self.stored(&batch, stored, now),
+            Input::Advised(inquiry, sent, answer) => {
+                self.ledger.advised(&inquiry, sent, now, answer);
+            }
+        }
+    }
+
+    fn changed(&mut self, change: Change, now: Duration) {
+        match change {
+            Change::Job(id) => {
+                if let Some(stored) = self.mirror.job(&id) {
+                    let record = (*stored.record).clone();
+                    self.ledger.put_job(record, stored.revision, now);
+                }
+            }
+            Change::JobGone(id) => self.ledger.drop_job(&id),
+            Change::Worker(name, addr) => self.meet(name, addr),
+            Change::Manifest => {
+                if let Some(manifest) = self.mirror.manifest() {
+                    self.ledger.set_manifest(manifest);
+                }
+            }
+            Change::Placer => {
+                let held = self.mirror.placer.borrow().clone();
+                if held.is_none_or(|(_, revision)| revision != self.tenure.epoch) {
+                    self.tenure.lost.raise();
+                }
+            }
+        }
+    }
+
+    /// Plans, stores and sends.
+    fn act(&mut self) {
+        let now = self.shared.clock.now();
+        let wall = self.shared.clock.wall_ms();
+        self.ledger.plan(now, wall);
+        if !self.writing {
+            let batch = self.ledger.take_batch(wall);
+            if let Some(batch) = batch.or_else(|| self.ledger.take_expired(wall)) {
+                self.write(batch);
+            }
+        }
+        let effects = self.ledger.take_effects();
+        self.queued.extend(effects);
+        let mut later = VecDeque::new();
+        while let Some(effect) = self.queued.pop_front() {
+            match effect {
+                Effect::Note(note) => self.log(note),
+                other if !self.tenure.is_held(now) => later.push_back(other),
+                Effect::Ask(inquiry) => self.ask(inquiry),
+                Effect::Send { node, boot, order } => self.send(node, boot, order),
+            }
+        }
+        self.queued = later;
+    }
+
+    fn log(&self, note: Note) {
+        let event = match note.decision {
+            Decision::Placed => Event::JobPlaced,
+            Decision::Ended => Event::RunEnded,
+            Decision::Stopped => Event::RunStopped,
+            Decision::Preempted => Event::JobPreempted,
+            Decision::StartFailed => Event::StartFailed,
+            Decision::Adopted => Event::RunAdopted,
+            Decision::Lost => Event::RunLost,
+            Decision::Finished => Event::JobFinished,
+            Decision::WorkerSeen => Event::WorkerSeen,
+            Decision::WorkerSilent => Event::WorkerLost,
+            Decision::WorkerDraining => Event::WorkerDraining,
+            Decision::Quarantined => Event::WorkerQuarantined,
+            Decision::Paced => Event::RunPaced,
+        };
+        self.shared.log.note_for(event, note.subject, note.account, note.detail);
+    }
+
+    fn look(&mut self, node: SmolStr) {
+        self.waiting.remove(&node);
+        if self.looking.contains(&node) {
+            return;
+        }
+        let now = self.shared.clock.now();
+        if !self.tenure.is_held(now) {
+            self.later(node, LOOK_PAUSE);
+            return;
+        }
+        let Some(addr) = self.ledger.addr(&node) else {
+            return;
+        };
+        let Some(envelope) = self.ledger.look(&node, now) else {
+            self.later(node, LOOK_PAUSE);
+            return;
+        };
+        let wait = match envelope.order {
+            Order::Look { wait, .. } => Duration::from_millis(wait),
+            _ => Duration::ZERO,
+        };
+        self.looking.insert(node.clone());
+        let (rpc, sender) = (self.rpc.clone(), self.sender.clone());
+        compio::runtime::spawn(async move {
+            let answer = deliver(&rpc, addr, &envelope, wait + ORDER_LIMIT).await;
+            let _ = sender.unbounded_send(Input::Looked(node, now, answer));
+        })
+        .detach();
+    }
+
+    fn later(&self, node: SmolStr, pause: Duration) {
+        let sender = self.sender.clone();
+        compio::runtime::spawn(async move {
+            sleep(pause).await;
+            let _ = sender.unbounded_send(Input::LookDue(node));
+        })
+        .detach();
+    }
+
+    fn looked(&mut self, node: SmolStr, sent: Duration, answer: Answer, now: Duration) {
+        self.looking.remove(&node);
+        match answer {
+            Answer::Listed(announced, listing) => {
+                self.silent.remove(&node);
+                self.ledger.listed(&node, sent, now, *announced, *listing);
+                if self.ledger.awaits_store(&node) {
+                    self.await_store(node);
+                } else {
+                    self.look(node);
+                }
+            }
+            other => {
+                if self.silent.insert(node.clone()) {
+                    self.ledger.silent(&node, now);
+                }
+                let epoch = hibiscusbarrow_fleet::worker::Refusal::Epoch;
+                if other == Answer::Refused(epoch) {
+                    self.tenure.lost.raise();
+                }
+                self.later(node, LOOK_PAUSE);
+            }
+        }
+    }
+
+    /// Looks again once the ends are stored, or after a while.
+    fn await_store(&mut self, node: SmolStr) {
+        self.waiting.insert(node.clone());
+        self.later(node, STORE_WAIT);
+    }
+
+    fn send(&self, node: SmolStr, boot: Boot, order: Order) {
+        let Some(addr) = self.ledger.addr(&node) else {
+            return;
+        };
+        let envelope = Envelope {
+            epoch: self.tenure.epoch,
+            boot: boot.id.clone(),
+            order: order.clone(),
+        };
+        let (rpc, sender) = (self.rpc.clone(), self.sender.clone());
+        let (tenure, clock) = (self.tenure.clone(), self.shared.clock.clone());
+        compio::runtime::spawn(async move {
+            let mut doubtful = false;
+            let mut answer = Answer::Silent;
+            for _ in 0..ATTEMPTS {
+                if !tenure.is_held(clock.now()) {
+                    break;
+                }
+                answer = deliver(&rpc, addr, &envelope, ORDER_LIMIT).await;
+                if answer != Answer::Silent {
+                    break;
+                }
+                doubtful = true;
+            }
+            let event = Input::Answered(node, boot, order, answer, doubtful);
+            let _ = sender.unbounded_send(event);
+        })
+        .detach();
+    }
+
+    fn ask(&self, inquiry: Inquiry) {
+        let (advisor, sender) = (self.advisor.clone(), self.sender.clone());
+        let (shared, sent) = (self.shared.clone(), self.shared.clock.now());
+        compio::runtime::spawn(async move {
+            let answer = advisor(inquiry.clone()).await;
+            let detail = match &answer {
+                Ok(rows) => format!(
+                    "step={}.{} asked={} approved={}",
+                    inquiry.round,
+                    inquiry.step,
+                    inquiry.workers.len(),
+                    rows.len()
+                ),
+                Err(e) => format!("step={}.{} failed: {e}", inquiry.round, inquiry.step),
+            };
+            shared.log.note(Event::PolicyAnswered, inquiry.job.clone(), detail);
+            let _ = sender.unbounded_send(Input::Advised(inquiry, sent, answer.ok()));
+        })
+        .detach();
+    }
+
+    fn write(&mut self, batch: Batch) {
+        self.writing = true;
+        let (shared, tenure) = (self.shared.clone(), self.tenure.clone());
+        let sender = self.sender.clone();
+        compio::runtime::spawn(async move {
+            let stored = store(&shared, &tenure, &batch).await;
+            let _ = sender.unbounded_send(Input::Stored(batch, stored));
+        })
+        .detach();
+    }
+
+    fn stored(&mut self, batch: &Batch, stored: Stored, now: Duration) {
+        self.writing = false;
+        match stored {
+            Stored::At(revision) => self.ledger.committed(batch, revision, now),
+            Stored::Deposed => self.tenure.lost.raise(),
+            Stored::Conflict(items) => {
+                self.ledger.abandoned(batch);
+                for item in items {
+                    self.conflicted(&item, now);
+                }
+            }
+        }
+        let waiting: Vec<SmolStr> = self.waiting.iter().cloned().collect();
+        for node in waiting {
+            if !self.ledger.awaits_store(&node) {
+                self.look(node);
+            }
+        }
+    }
+
+    fn conflicted(&mut self, item: &Item, now: Duration) {
+        let keys::Kind::Job(id) = keys::kind(&item.key) else {
+            return;
+        };
+        let detail = format!("revision={}", item.revision);
+        self.shared.log.note(Event::StoreConflict, id.clone(), detail);
+        match item.value.as_ref().map(|v| Record::decode(v)) {
+            Some(Ok(record)) => self.ledger.conflicted(record, item.revision, now),
+            Some(Err(e)) => {
+                let detail = format!("the record is unreadable: {e}");
+                self.shared.log.note(Event::PeerRefused, id, detail);
+            }
+            None => self.ledger.drop_job(&id),
+        }
+    }
+}
+
+/// Sends an order to a sidecar and returns what is known of its outcome.
+async fn deliver(
+    rpc: &RpcClient,
+    addr: SocketAddr,
+    envelope: &Envelope,
+    limit: Duration,
+) -> Answer {
+    let request = ForwardRequest {
+        service: ORDERS.into(),
+        body: Bytes::from(serde_json::to_vec(envelope).expect("an order serialises")),
+        ..ForwardRequest::default()
+    };
+    match rpc.forward(addr, &request, limit).await {
+        Ok(reply) if reply.code == Code::Done => {
+            serde_json::from_slice(&reply.body).unwrap_or(Answer::Silent)
+        }
+        Ok(_) => Answer::Refused(hibiscusbarrow_fleet::worker::Refusal::Boot),
+        Err(RpcError::NotSent(_)) => {
+            rpc.forget(addr);
+            Answer::Refused(hibiscusbarrow_fleet::worker::Refusal::Boot)
+        }
+        Err(RpcError::Unanswered(_)) => {
+            rpc.forget(addr);
+            Answer::Silent
+        }
+    }
+}
+
+/// Stores a batch; repeats it until its outcome is known.
+async fn store(shared: &Shared, tenure: &Tenure, batch: &Batch) -> Stored {
+    let mut txn = Txn {
+        conditions: vec![(keys::PLACER.into(), tenure.epoch)],
+        ..Txn::default()
+    };
+    for write in &batch.writes {
+        let key = keys::job(&write.job);
+        txn.conditions.push((key.clone(), write.revision));
+        match &write.value {
+            Some(value) => txn.puts.push((key, Bytes::from(value.clone()), 0)),
+            None => txn.deletes.push(key),
+        }
+    }
+    while !tenure.lost.is_raised() {
+        match (shared.store.commit)(txn.clone()).await {
+            Ok(Outcome::Committed(revision)) => return Stored::At(revision),
+            Ok(Outcome::Conflict(items)) => return settle(tenure, batch, items),
+            Ok(Outcome::NoLease) => return Stored::Deposed,
+            Err(StoreError::Refused(_) | StoreError::Unknown(_) | StoreError::Compacted) => {
+                sleep(WRITE_PAUSE).await;
+            }
+        }
+    }
+    Stored::Deposed
+}
+
+/// Tells a conflict from an earlier attempt that did take effect.
+fn settle(tenure: &Tenure, batch: &Batch, items: Vec<Item>) -> Stored {
+    let holder = items.iter().find(|i| i.key == keys::PLACER);
+    if holder.is_some_and(|i| i.revision != tenure.epoch || i.value.is_none()) {
+        return Stored::Deposed;
+    }
+    let landed = batch.writes.iter().all(|w| {
+        let key = keys::job(&w.job);
+        let item = items.iter().find(|i| i.key == key);
+        let held = item.and_then(|i| i.value.as_deref());
+        held == w.value.as_deref()
+    });
+    let newest = items.iter().filter(|i| i.key != keys::PLACER).map(|i| i.revision).max();
+    match newest {
+        Some(revision) if landed => Stored::At(revision),
+        _ => Stored::Conflict(items),
+    }
+}
--- a/crates/roles/src/lib.rs
+++ b/crates/roles/src/lib.rs
@@ -13,6 +13,7 @@
 //! # }
 //! ```
 
+pub mod fleet;
 pub mod gateway;
 pub mod node;
 pub mod placer;
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -16,6 +16,14 @@
         /// Prints the version.
         cmd version {}
 
+        /// Runs a role of a fleet, with the settings file that the environment names.
+        cmd fleet {
+            /// Runs a gateway of the fleet.
+            cmd serve {}
+            /// Runs the sidecar of a worker.
+            cmd agent {}
+        }
+
         /// Runs a gateway.
         cmd gateway {
             /// The settings file, JSON with comments.
--- /dev/null
+++ b/src/cmd/fleet.rs
@@ -0,0 +1,20 @@
+//! `hibiscusbarrow fleet`.
+
+use super::client;
+use super::gateway::stop_flag;
+use crate::cli;
+use anyhow::Context;
+use anyhow::Result;
+use hibiscusbarrow_platform::Process;
+
+/// Runs a role of the fleet until it is asked to stop.
+pub fn execute(args: cli::Fleet) -> Result<()> {
+    let process = Process::load()?;
+    client::block_on(async {
+        let stop = stop_flag();
+        match args.subcommand {
+            cli::FleetCmd::Serve(_) => process.gateway(stop).await.context("running the gateway"),
+            cli::FleetCmd::Agent(_) => process.sidecar(stop).await.context("running the sidecar"),
+        }
+    })
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 pub mod client;
 mod demo;
 mod diff;
+mod fleet;
 mod gateway;
 mod get;
 mod renew;
@@ -27,6 +28,7 @@
             println!("hibiscusbarrow {}", env!("CARGO_PKG_VERSION"));
             Ok(())
         }
+        Command::Fleet(args) => fleet::execute(args),
         Command::Gateway(args) => gateway::execute(args),
         Command::Sidecar(args) => sidecar::execute(args),
         Command::Standin(args) => standin::execute(args),
