--- a/crates/fleet/src/ledger/listing.rs
+++ b/crates/fleet/src/ledger/listing.rs
@@ -74,23 +74,28 @@
         let detail = format!("boot={} born={} before={before:?}", boot.id, boot.born);
         self.note(Decision::WorkerSeen, node, "", detail);
         for (id, key, phase) in self.runs_on(node, |r| r.boot != *boot) {
-            if matches!(phase, Phase::Live | Phase::Stopping) && !self.may_arrive(&id, key) {
-                self.lose(&id, key, "the worker started again", now);
-                continue;
-            }
-            let run = self.jobs.get_mut(&id).and_then(|e| e.runs.get_mut(&key));
-            if let Some(run) = run.filter(|r| r.phase != Phase::Planned) {
-                run.barred = None;
-                run.stopped = None;
-                run.silent = true;
-                run.phase = Phase::Doubt;
+            if phase != Phase::Planned {
+                self.meet_run(&id, key, boot, now);
             }
         }
     }
 
-    fn may_arrive(&self, id: &SmolStr, key: TaskKey) -> bool {
-        let run = self.jobs.get(id).and_then(|e| e.runs.get(&key));
-        run.is_some_and(|r| r.silent)
+    /// Settles a run of a former life of the worker that answers now.
+    fn meet_run(&mut self, id: &SmolStr, key: TaskKey, boot: &Boot, now: Duration) {
+        let run = self.jobs.get_mut(id).and_then(|e| e.runs.get_mut(&key));
+        let Some(run) = run else {
+            return;
+        };
+        // Orders name the life that they are meant for by its identifier alone, so
+        // that a late one can only reach another life of the same identifier.
+        if run.boot.id == boot.id && run.silent {
+            run.barred = None;
+            run.stopped = None;
+            run.boot = boot.clone();
+            run.phase = Phase::Doubt;
+        } else {
+            self.lose(id, key, "the worker started again", now);
+        }
     }
 
     /// Returns the runs on a worker that fulfil a condition.
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -1,1 +1,4 @@
-//! Tests of the ledger.
+//! Tests of the job records and the placer's ledger.
+
+mod fixtures;
+mod takeover;
