Reach the store through another gateway when the own path fails

Change: calls are made directly, and by another gateway when the direct one is refused or takes longer than a slow store; the placer's claim names its lease, so that a repeated claim is recognised. The lease is 2 s long.

--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -81,6 +81,8 @@
     StoreBack = 1802, "The key-value service answers again.";
     MirrorReset = 1803, "The history of the store is gone; its content is read again.";
     StoreConflict = 1804, "A write met another revision than it named.";
+    PathLost = 1805, "Calls to the key-value service go through another gateway.";
+    PathBack = 1806, "Calls to the key-value service go there directly again.";
     PeerRefused = 1901, "A malformed or forged message was dropped.";
 }
 
--- a/crates/roles/src/fleet/agent.rs
+++ b/crates/roles/src/fleet/agent.rs
@@ -55,7 +55,8 @@
 /// # Errors
 ///
 /// Fails if an address of the settings is missing or cannot be bound.
-pub async fn run(shared: Rc<Shared>, worker: Worker) -> anyhow::Result<()> {
+pub async fn run(shared: Shared, worker: Worker) -> anyhow::Result<()> {
+    let shared = Rc::new(shared);
     let settings = &shared.settings;
     let beats = settings.beats.context("the settings name no address for heartbeats")?;
     let beats = TcpListener::bind(beats).await.context("binding for heartbeats")?;
--- a/crates/roles/src/fleet/gateway.rs
+++ b/crates/roles/src/fleet/gateway.rs
@@ -8,7 +8,9 @@
 use super::mirror::Mirror;
 use super::port::Advisor;
 use super::port::Callers;
+use super::port::Store;
 use super::port::Txn;
+use super::relay;
 use super::serve_metrics;
 use anyhow::Context;
 use bytes::Bytes;
@@ -36,7 +38,11 @@
 /// # Errors
 ///
 /// Fails if an address of the settings is missing or cannot be bound.
-pub async fn run(shared: Rc<Shared>, callers: Callers, advisor: Advisor) -> anyhow::Result<()> {
+pub async fn run(shared: Shared, callers: Callers, advisor: Advisor) -> anyhow::Result<()> {
+    let mirror = Rc::new(Mirror::default());
+    let rpc = Rc::new(RpcClient::default());
+    let own = shared.store.clone();
+    let shared = Rc::new(through_peers(shared, &mirror, &rpc));
     let settings = &shared.settings;
     let front = settings.front.context("the settings name no address for callers")?;
     let ready = settings.ready.context("the settings name no address for the balancer")?;
@@ -44,15 +50,13 @@
     let ready = TcpListener::bind(ready).await.context("binding for the balancer")?;
     let peers = TcpListener::bind(settings.peer).await.context("binding for peers")?;
     serve_metrics(shared.metrics.clone(), settings.metrics);
-    let mirror = Rc::new(Mirror::default());
-    let rpc = Rc::new(RpcClient::default());
     let detail = format!("gateway callers={:?} peer={}", settings.front, settings.peer);
     shared.log.note(Event::Started, settings.name.clone(), detail);
 
     spawn(mirror::follow(shared.clone(), mirror.clone()));
     spawn(mirror::ask_peers(shared.clone(), mirror.clone(), rpc.clone()));
     spawn(enter(shared.clone()));
-    spawn(serve_peers(peers, mirror.clone()));
+    spawn(serve_peers(peers, own, mirror.clone()));
     spawn(serve_ready(ready, shared.clone(), mirror.clone()));
     let leading = compio::runtime::spawn(lead::run(shared.clone(), mirror.clone(), rpc, advisor));
 
@@ -93,9 +97,30 @@
     }
 }
 
-async fn serve_peers(listener: TcpListener, mirror: Rc<Mirror>) {
+/// Has calls to the store go through other gateways when the own path fails.
+fn through_peers(shared: Shared, mirror: &Rc<Mirror>, rpc: &Rc<RpcClient>) -> Shared {
+    let (name, mirror) = (shared.settings.name.clone(), mirror.clone());
+    let peers = move || {
+        let gateways = mirror.gateways.borrow();
+        let others = gateways.iter().filter(|(n, _)| **n != name);
+        others.map(|(_, addr)| *addr).collect()
+    };
+    let log = shared.log.clone();
+    let store = relay::relayed(shared.store.clone(), rpc.clone(), log, Rc::new(peers));
+    Shared { store, ..shared }
+}
+
+async fn serve_peers(listener: TcpListener, store: Store, mirror: Rc<Mirror>) {
     let handlers = Handlers {
-        forward: Rc::new(|_| Box::pin(async { rpc::ForwardReply::failure(Code::UnknownService, "") })),
+        forward: Rc::new(move |request| {
+            let store = store.clone();
+            Box::pin(async move {
+                if request.service == relay::STORE {
+                    return relay::serve(store, request).await;
+                }
+                rpc::ForwardReply::failure(Code::UnknownService, "")
+            })
+        }),
         config: Rc::new(move |above| mirror.manifest_above(above)),
     };
     rpc::serve(listener, handlers, Flag::default()).await;
--- a/crates/roles/src/fleet/lead.rs
+++ b/crates/roles/src/fleet/lead.rs
@@ -5,6 +5,7 @@
 use super::mirror::Mirror;
 use super::placer;
 use super::port::Advisor;
+use super::port::Item;
 use super::port::Outcome;
 use super::port::StoreError;
 use super::port::Txn;
@@ -20,9 +21,9 @@
 use std::time::Duration;
 
 /// The life of the lease.
-const LEASE: Duration = Duration::from_secs(3);
+const LEASE: Duration = Duration::from_secs(2);
 /// The pause between two renewals.
-const RENEW: Duration = Duration::from_millis(800);
+const RENEW: Duration = Duration::from_millis(600);
 /// The pause between two looks at whether the lease is free.
 const LOOK: Duration = Duration::from_millis(50);
 /// The pause after a failed attempt.
@@ -99,14 +100,17 @@
 async fn take(shared: &Shared) -> Option<Tenure> {
     let sent = shared.clock.now();
     let id = (shared.store.grant)(LEASE).await.ok()?;
-    let name = Bytes::from(shared.settings.name.to_string());
+    let claim = Bytes::from(format!("{} {id}", shared.settings.name));
     let txn = Txn {
         conditions: vec![(keys::PLACER.into(), 0)],
-        puts: vec![(keys::PLACER.into(), name, id)],
+        puts: vec![(keys::PLACER.into(), claim.clone(), id)],
         deletes: Vec::new(),
     };
     let epoch = match (shared.store.commit)(txn).await {
         Ok(Outcome::Committed(revision)) => revision,
+        Ok(Outcome::Conflict(items)) if holds(&items, &claim).is_some() => {
+            holds(&items, &claim)?
+        }
         Ok(_) => {
             let _ = (shared.store.revoke)(id).await;
             return None;
@@ -129,6 +133,12 @@
     })
 }
 
+/// Returns the revision of the own claim if an earlier attempt entered it.
+fn holds(items: &[Item], claim: &Bytes) -> Option<u64> {
+    let item = items.iter().find(|i| i.key == keys::PLACER);
+    item.filter(|i| i.value.as_ref() == Some(claim)).map(|i| i.revision)
+}
+
 async fn renew(shared: Rc<Shared>, tenure: Rc<Tenure>) {
     while !tenure.lost.is_raised() {
         sleep(RENEW).await;
--- a/crates/roles/src/fleet/mirror.rs
+++ b/crates/roles/src/fleet/mirror.rs
@@ -175,8 +175,9 @@
             }
             Kind::Placer => {
                 let holder = item.value.as_ref().map(|v| {
-                    let name = SmolStr::from(String::from_utf8_lossy(v));
-                    (name, item.revision)
+                    let text = String::from_utf8_lossy(v);
+                    let name = text.split(' ').next().unwrap_or("");
+                    (SmolStr::from(name), item.revision)
                 });
                 *self.placer.borrow_mut() = holder;
                 self.tell(&Change::Placer);
--- a/crates/roles/src/fleet/mod.rs
+++ b/crates/roles/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 mod mirror;
 mod placer;
 pub mod port;
+pub mod relay;
 
 use hibiscusbarrow_adapters::http::Limits;
 use hibiscusbarrow_adapters::http::serve;
--- a/crates/roles/src/fleet/port.rs
+++ b/crates/roles/src/fleet/port.rs
@@ -11,6 +11,8 @@
 use hibiscusbarrow_fleet::worker::Announcement;
 use hibiscusbarrow_fleet::worker::Answer;
 use hibiscusbarrow_fleet::worker::Envelope;
+use serde::Deserialize;
+use serde::Serialize;
 use smol_str::SmolStr;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -47,7 +49,7 @@
 }
 
 /// Holds one item of the store.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Item {
     /// The key.
     pub key: SmolStr,
@@ -58,7 +60,7 @@
 }
 
 /// Holds a page of a listing, or changes that a watch returned.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Page {
     /// The items, in order.
     pub items: Vec<Item>,
@@ -69,7 +71,7 @@
 }
 
 /// Describes a transaction: nothing or all of it takes effect.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Txn {
     /// Keys and the revisions that they must have; 0 means absent.
     pub conditions: Vec<(SmolStr, u64)>,
@@ -80,7 +82,7 @@
 }
 
 /// Enumerates the outcomes of a transaction.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Outcome {
     /// Took effect at this revision.
     Committed(u64),
@@ -91,7 +93,7 @@
 }
 
 /// Enumerates how a call to the store can fail.
-#[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize, thiserror::Error)]
 pub enum StoreError {
     /// The call had no effect.
     #[error("the store refused the call: {0}")]
