--- a/crates/fleet/src/ledger/plan.rs
+++ b/crates/fleet/src/ledger/plan.rs
@@ -25,6 +25,9 @@
 /// The steps for which workers are kept at once.
 const MAX_KEPT: usize = 2;
 
+/// The core-seconds that an urgent job beyond its guarantee may throw away.
+const URGENT_COST: u64 = 500;
+
 /// The class of jobs under a guarantee.
 const GUARANTEED: u32 = 0;
 /// The class of lasting tasks, which are restarted at once.
@@ -48,9 +51,17 @@
             if self.try_start(&candidate, &mut slots, &areas, now) {
                 continue;
             }
-            if candidate.class == GUARANTEED {
-                self.preempt(&candidate, &classes, &mut slots, &areas, now);
-            } else if kept < MAX_KEPT && candidate.waited > KEEP_AFTER {
+            let budget = match candidate.class {
+                GUARANTEED => Some(u64::MAX),
+                ORDINARY => Some(URGENT_COST),
+                _ => None,
+            };
+            if let Some(budget) = budget
+                && self.preempt(&candidate, &classes, &mut slots, &areas, budget, now)
+            {
+                continue;
+            }
+            if kept < MAX_KEPT && candidate.waited > KEEP_AFTER {
                 kept += usize::from(self.keep(&candidate, &mut slots, &areas));
             }
         }
--- a/crates/fleet/src/ledger/preempt.rs
+++ b/crates/fleet/src/ledger/preempt.rs
@@ -37,17 +37,20 @@
 impl Ledger {
     /// Stops runs of others so that a candidate can start, in the cheapest area.
     ///
-    /// Returns whether the room is or becomes free.
+    /// Ways that throw away more core-seconds than `budget` are not taken. Returns
+    /// whether the room is or becomes free.
     pub(super) fn preempt(
         &mut self,
         candidate: &Candidate,
         classes: &HashMap<SmolStr, u32>,
         slots: &mut Vec<Slot>,
         areas: &[Area],
+        budget: u64,
         now: Duration,
     ) -> bool {
         let ways = areas.iter().filter_map(|a| self.clear(candidate, classes, slots, a, now));
-        let Some(way) = ways.min_by_key(|w| w.cost) else {
+        let affordable = ways.filter(|w| w.cost <= budget);
+        let Some(way) = affordable.min_by_key(|w| w.cost) else {
             return false;
         };
         *slots = way.slots;
