Refuse new jobs at once while the store is lost

Change: while the last call for changes failed, nothing is written and the caller is told when to come back; each attempt ends with the caller's time.

--- a/crates/roles/src/fleet/front.rs
+++ b/crates/roles/src/fleet/front.rs
@@ -10,6 +10,7 @@
 use super::port::Txn;
 use bytes::Bytes;
 use compio::time::sleep;
+use compio::time::timeout;
 use hibiscusbarrow_adapters::http::Reply;
 use hibiscusbarrow_adapters::http::Request;
 use hibiscusbarrow_adapters::http::text_reply;
@@ -37,7 +38,7 @@
 /// When a refused caller should come back, in seconds.
 const COME_BACK: &str = "1";
 /// Refusals of the store after which a caller is told to come back.
-const MAX_REFUSALS: u32 = 3;
+const MAX_REFUSALS: u32 = 2;
 
 /// Serves callers of one gateway.
 pub struct Front {
@@ -153,6 +154,9 @@
                 return (Code::BadRequest, text_reply(400, detail));
             }
         };
+        if self.mirror.is_lost() {
+            return (Code::NotAccepted, come_back(503));
+        }
         let id = admitted.rest.clone();
         let record = Rc::new(Record::new(job));
         let txn = Txn {
@@ -163,7 +167,7 @@
         let mut doubt = false;
         let mut refusals = 0;
         loop {
-            match (self.shared.store.commit)(txn.clone()).await {
+            match self.commit(txn.clone(), admitted.until).await {
                 Ok(Outcome::Committed(revision)) => {
                     self.accepted(admitted, &record, revision);
                     return (Code::Done, json(Bytes::from_static(b"{}")));
@@ -257,7 +261,7 @@
                 puts: vec![(keys::job(id), Bytes::from(record.encode()), 0)],
                 deletes: Vec::new(),
             };
-            match (self.shared.store.commit)(txn).await {
+            match self.commit(txn, admitted.until).await {
                 Ok(Outcome::Committed(revision)) => {
                     let record = Rc::new(record.clone());
                     self.mirror.put_job(id, record, revision);
@@ -288,10 +292,25 @@
         }
     }
 
+    /// Runs a transaction; its outcome is in doubt once the caller's time is up.
+    async fn commit(&self, txn: Txn, until: Duration) -> Result<Outcome, StoreError> {
+        let rest = until.saturating_sub(self.shared.clock.now());
+        match timeout(rest, (self.shared.store.commit)(txn)).await {
+            Ok(result) => result,
+            Err(_) => Err(StoreError::Unknown("the caller's time is up".into())),
+        }
+    }
+
     /// Reads a record from the store until the caller's time is up.
     async fn read(&self, id: &SmolStr, until: Duration) -> Result<Option<(Record, u64)>, Code> {
         loop {
-            match (self.shared.store.get)(keys::job(id)).await {
+            if self.mirror.is_lost() {
+                return Err(Code::StoreDown);
+            }
+            let rest = until.saturating_sub(self.shared.clock.now());
+            let read = timeout(rest, (self.shared.store.get)(keys::job(id))).await;
+            let late = || Err(StoreError::Unknown("the caller's time is up".into()));
+            match read.unwrap_or_else(|_| late()) {
                 Ok(None) => return Ok(None),
                 Ok(Some(item)) => {
                     let value = item.value.unwrap_or_default();
--- a/crates/roles/src/fleet/mirror.rs
+++ b/crates/roles/src/fleet/mirror.rs
@@ -72,6 +72,7 @@
     at: Cell<u64>,
     synced: Cell<bool>,
     confirmed: Cell<Option<Duration>>,
+    lost: Cell<bool>,
     listeners: RefCell<Vec<mpsc::UnboundedSender<Change>>>,
 }
 
@@ -97,6 +98,11 @@
         self.synced.get() && self.confirmed.get().is_some_and(|at| now < at + STALE)
     }
 
+    /// Tells whether the last call for changes failed.
+    pub fn is_lost(&self) -> bool {
+        self.lost.get()
+    }
+
     /// Returns a receiver of all further changes.
     pub fn subscribe(&self) -> mpsc::UnboundedReceiver<Change> {
         let (sender, receiver) = mpsc::unbounded();
@@ -275,6 +281,7 @@
         match result {
             Ok(()) => {
                 mirror.confirmed.set(Some(sent));
+                mirror.lost.set(false);
                 if let Some(since) = lost.take() {
                     let detail = format!("after={:?} at={}", shared.clock.now() - since, mirror.at());
                     shared.log.note(Event::StoreBack, "store", detail);
@@ -286,6 +293,7 @@
                 mirror.synced.set(false);
             }
             Err(e) => {
+                mirror.lost.set(true);
                 if lost.is_none() {
                     lost = Some(sent);
                     shared.log.note(Event::StoreDown, "store", e.to_string());
@@ -297,7 +305,13 @@
 }
 
 async fn watch_once(shared: &Shared, mirror: &Mirror) -> Result<(), StoreError> {
-    let page = (shared.store.watch)((mirror.at(), WATCH_WAIT)).await?;
+    // After a failure the answer itself is the news.
+    let wait = if mirror.is_lost() {
+        Duration::ZERO
+    } else {
+        WATCH_WAIT
+    };
+    let page = (shared.store.watch)((mirror.at(), wait)).await?;
     for item in page.items {
         mirror.apply(shared, item);
     }
