Store checkpoints each second; mark the store as lost on the first failed call

Change: new checkpoints are written into the records once a second, batched; a failed call of a caller marks the store as lost until a probe answers.

--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -230,6 +230,8 @@
     /// Starts that wait until a record is stored: job, change, task, number.
     held: Vec<(SmolStr, u64, TaskKey, u64)>,
     fenced: bool,
+    /// When checkpoints were last taken into the records.
+    saved: Duration,
 }
 
 impl Ledger {
@@ -246,6 +248,7 @@
             effects: Vec::new(),
             held: Vec::new(),
             fenced: false,
+            saved: now,
         }
     }
 
--- a/crates/fleet/src/ledger/orders.rs
+++ b/crates/fleet/src/ledger/orders.rs
@@ -18,7 +18,7 @@
 /// Time that a grant may spend on its way before it counts from its arrival.
 const DELIVERY: Duration = Duration::from_millis(100);
 /// The longest wait of a look.
-const LOOK_WAIT: Duration = Duration::from_millis(1_500);
+const LOOK_WAIT: Duration = Duration::from_millis(1_000);
 /// The wait of a look while the progress of the worker matters at once.
 const BUSY_WAIT: Duration = Duration::from_millis(400);
 
--- a/crates/fleet/src/ledger/plan.rs
+++ b/crates/fleet/src/ledger/plan.rs
@@ -22,6 +22,8 @@
 const MAX_PATIENCE: Duration = Duration::from_secs(8);
 /// A step that waited this long gets workers kept for it.
 const KEEP_AFTER: Duration = Duration::from_millis(1_500);
+/// The pause between two writes of new checkpoints.
+const SAVE_PAUSE: Duration = Duration::from_secs(1);
 /// The steps for which workers are kept at once.
 const MAX_KEPT: usize = 2;
 
@@ -40,6 +42,7 @@
     pub fn plan(&mut self, now: Duration, wall: u64) {
         self.expire(now);
         self.stop_standstills(now);
+        self.save_checkpoints(now);
         let classes = self.classes();
         let mut slots = self.slots(now);
         let mut kept = 0;
@@ -88,6 +91,31 @@
         }
     }
 
+    /// Takes new checkpoints into the records, so that they outlive every process.
+    fn save_checkpoints(&mut self, now: Duration) {
+        if now < self.saved + SAVE_PAUSE {
+            return;
+        }
+        self.saved = now;
+        let mut fresh = Vec::new();
+        for (id, entry) in &self.jobs {
+            for (key, run) in &entry.runs {
+                let gang = entry.step(*key).gang;
+                let index = if gang { 0 } else { key.2 };
+                let held = entry.record.find(key.0, key.1, index);
+                let known = held.is_some_and(|p| p.checkpoint == run.checkpoint);
+                let speaks = !gang || key.2 == 0;
+                if run.phase == Phase::Live && !run.checkpoint.is_empty() && !known && speaks {
+                    fresh.push((id.clone(), *key, run.checkpoint.clone()));
+                }
+            }
+        }
+        for (id, key, checkpoint) in fresh {
+            self.keep_checkpoint(&id, key, &checkpoint);
+            self.touch(&id);
+        }
+    }
+
     fn stop_standstills(&mut self, now: Duration) {
         let mut stuck = Vec::new();
         for (id, entry) in &self.jobs {
--- a/crates/roles/src/fleet/front.rs
+++ b/crates/roles/src/fleet/front.rs
@@ -154,7 +154,8 @@
                 return (Code::BadRequest, text_reply(400, detail));
             }
         };
-        if self.mirror.is_lost() {
+        let late = self.shared.clock.now() + RETRY > admitted.until;
+        if self.mirror.is_lost() || late {
             return (Code::NotAccepted, come_back(503));
         }
         let id = admitted.rest.clone();
@@ -296,6 +297,10 @@
     async fn commit(&self, txn: Txn, until: Duration) -> Result<Outcome, StoreError> {
         let rest = until.saturating_sub(self.shared.clock.now());
         match timeout(rest, (self.shared.store.commit)(txn)).await {
+            Ok(Err(e)) => {
+                self.mirror.lose(&self.shared, &e.to_string());
+                Err(e)
+            }
             Ok(result) => result,
             Err(_) => Err(StoreError::Unknown("the caller's time is up".into())),
         }
--- a/crates/roles/src/fleet/mirror.rs
+++ b/crates/roles/src/fleet/mirror.rs
@@ -98,11 +98,30 @@
         self.synced.get() && self.confirmed.get().is_some_and(|at| now < at + STALE)
     }
 
-    /// Tells whether the last call for changes failed.
+    /// Tells whether the last call to the store failed.
     pub fn is_lost(&self) -> bool {
         self.lost.get()
     }
 
+    /// Takes in that a call to the store failed; probes it until it answers.
+    pub fn lose(self: &Rc<Self>, shared: &Rc<Shared>, why: &str) {
+        if self.lost.replace(true) {
+            return;
+        }
+        shared.log.note(Event::StoreDown, "store", why.to_owned());
+        let (shared, mirror) = (shared.clone(), self.clone());
+        let since = shared.clock.now();
+        compio::runtime::spawn(async move {
+            while (shared.store.get)(keys::PLACER.into()).await.is_err() {
+                sleep(RETRY).await;
+            }
+            mirror.lost.set(false);
+            let detail = format!("after={:?} at={}", shared.clock.now() - since, mirror.at());
+            shared.log.note(Event::StoreBack, "store", detail);
+        })
+        .detach();
+    }
+
     /// Returns a receiver of all further changes.
     pub fn subscribe(&self) -> mpsc::UnboundedReceiver<Change> {
         let (sender, receiver) = mpsc::unbounded();
@@ -270,7 +289,6 @@
 
 /// Keeps the copy current until the process ends.
 pub async fn follow(shared: Rc<Shared>, mirror: Rc<Mirror>) {
-    let mut lost: Option<Duration> = None;
     loop {
         let sent = shared.clock.now();
         let result = if mirror.synced.get() {
@@ -281,11 +299,6 @@
         match result {
             Ok(()) => {
                 mirror.confirmed.set(Some(sent));
-                mirror.lost.set(false);
-                if let Some(since) = lost.take() {
-                    let detail = format!("after={:?} at={}", shared.clock.now() - since, mirror.at());
-                    shared.log.note(Event::StoreBack, "store", detail);
-                }
             }
             Err(StoreError::Compacted) => {
                 let detail = format!("after={} the history is gone; reading anew", mirror.at());
@@ -293,11 +306,7 @@
                 mirror.synced.set(false);
             }
             Err(e) => {
-                mirror.lost.set(true);
-                if lost.is_none() {
-                    lost = Some(sent);
-                    shared.log.note(Event::StoreDown, "store", e.to_string());
-                }
+                mirror.lose(&shared, &e.to_string());
                 sleep(RETRY).await;
             }
         }
--- a/crates/roles/src/fleet/relay.rs
+++ b/crates/roles/src/fleet/relay.rs
@@ -39,6 +39,8 @@
 const PATIENCE: Duration = Duration::from_millis(320);
 /// The longest wait for the gateway that makes the call.
 const RELAY_LIMIT: Duration = Duration::from_millis(800);
+/// The longest wait for changes at another gateway, in milliseconds.
+const RELAYED_WAIT: u64 = 300;
 /// The pause between two probes of a path that failed.
 const PROBE: Duration = Duration::from_millis(500);
 
@@ -204,7 +206,7 @@
             let done = if self.up.get() {
                 self.hedge(call, patience).await
             } else {
-                match self.through_peer(&call, patience).await {
+                match self.through_peer(&call).await {
                     Err(StoreError::Compacted) => Err(StoreError::Compacted),
                     Err(_) => direct(&self.store, call).await,
                     done => done,
@@ -222,7 +224,7 @@
             Either::Left((Ok(done), _)) => Ok(done),
             Either::Left((Err(StoreError::Compacted), _)) => Err(StoreError::Compacted),
             Either::Left((Err(failure), _)) => {
-                let done = self.through_peer(&call, patience).await;
+                let done = self.through_peer(&call).await;
                 if done.is_ok() {
                     self.fail_over(&failure.to_string());
                 }
@@ -230,7 +232,7 @@
                 done.map_err(|e| worse(failure, e))
             }
             Either::Right((_, own)) => {
-                let relayed = pin!(self.through_peer(&call, patience));
+                let relayed = pin!(self.through_peer(&call));
                 match select(own, relayed).await {
                     Either::Left((Ok(done), _)) => Ok(done),
                     Either::Left((Err(failure), relayed)) => {
@@ -247,20 +249,23 @@
     }
 
     /// Has another gateway make a call.
-    async fn through_peer(&self, call: &Call, patience: Duration) -> Result<Done, StoreError> {
+    async fn through_peer(&self, call: &Call) -> Result<Done, StoreError> {
         let mut peers = (self.peers)();
         let good = self.good.get();
         peers.sort_by_key(|p| Some(*p) != good);
-        let body = postcard::to_allocvec(call).expect("a call serialises");
+        let call = match call {
+            Call::Watch(after, wait) => Call::Watch(*after, (*wait).min(RELAYED_WAIT)),
+            other => other.clone(),
+        };
+        let body = postcard::to_allocvec(&call).expect("a call serialises");
         let request = ForwardRequest {
             service: STORE.into(),
             body: Bytes::from(body),
             ..ForwardRequest::default()
         };
-        let limit = RELAY_LIMIT.max(patience * 2);
         let mut failure = StoreError::Refused("no other gateway is known".into());
         for peer in peers {
-            failure = match self.rpc.forward(peer, &request, limit).await {
+            failure = match self.rpc.forward(peer, &request, RELAY_LIMIT).await {
                 Ok(reply) if reply.code == Code::Done => {
                     match postcard::from_bytes::<Result<Done, StoreError>>(&reply.body) {
                         Ok(Ok(done)) => {
