Probe a lost store without waiting for the last probe; bound doubt to 1.2 s

Cause: after an outage one gateway refused jobs 0.5 s longer, as a probe hung on the silent path; a write in doubt held its caller for 2.7 s.

--- a/crates/roles/src/fleet/front.rs
+++ b/crates/roles/src/fleet/front.rs
@@ -37,6 +37,8 @@
 const RETRY: Duration = Duration::from_millis(60);
 /// When a refused caller should come back, in seconds.
 const COME_BACK: &str = "1";
+/// The time for which a write in doubt is repeated before the caller is told so.
+const MAX_DOUBT: Duration = Duration::from_millis(1_200);
 /// Refusals of the store after which a caller is told to come back.
 const MAX_REFUSALS: u32 = 2;
 
@@ -165,10 +167,11 @@
             puts: vec![(keys::job(&id), Bytes::from(record.encode()), 0)],
             deletes: Vec::new(),
         };
+        let began = self.shared.clock.now();
         let mut doubt = false;
         let mut refusals = 0;
         loop {
-            match self.commit(txn.clone(), admitted.until).await {
+            match self.commit(txn.clone(), admitted.until.min(began + MAX_DOUBT)).await {
                 Ok(Outcome::Committed(revision)) => {
                     self.accepted(admitted, &record, revision);
                     return (Code::Done, json(Bytes::from_static(b"{}")));
@@ -179,7 +182,8 @@
                 }
                 Err(StoreError::Unknown(_)) => doubt = true,
             }
-            let out_of_time = self.shared.clock.now() + RETRY > admitted.until;
+            let until = admitted.until.min(began + MAX_DOUBT);
+            let out_of_time = self.shared.clock.now() + RETRY > until;
             if out_of_time && doubt {
                 return (Code::AcceptUnknown, text_reply(504, ""));
             }
--- a/crates/roles/src/fleet/mirror.rs
+++ b/crates/roles/src/fleet/mirror.rs
@@ -24,6 +24,8 @@
 const WATCH_WAIT: Duration = Duration::from_millis(1_200);
 /// The pause after a failed call.
 const RETRY: Duration = Duration::from_millis(150);
+/// The pause between two probes of a store that is lost.
+const PROBE: Duration = Duration::from_millis(100);
 /// A copy whose last confirmation is older than this may be behind.
 const STALE: Duration = Duration::from_millis(2_200);
 /// The pause between two questions to peers for a newer manifest.
@@ -112,10 +114,11 @@
         let (shared, mirror) = (shared.clone(), self.clone());
         let since = shared.clock.now();
         compio::runtime::spawn(async move {
-            while (shared.store.get)(keys::PLACER.into()).await.is_err() {
-                sleep(RETRY).await;
+            // A probe may hang on a silent path; the next one does not wait for it.
+            while mirror.lost.get() {
+                compio::runtime::spawn(probe(shared.clone(), mirror.clone())).detach();
+                sleep(PROBE).await;
             }
-            mirror.lost.set(false);
             let detail = format!("after={:?} at={}", shared.clock.now() - since, mirror.at());
             shared.log.note(Event::StoreBack, "store", detail);
         })
@@ -287,6 +290,13 @@
     }
 }
 
+/// Ends the loss of the store if it answers.
+async fn probe(shared: Rc<Shared>, mirror: Rc<Mirror>) {
+    if (shared.store.get)(keys::PLACER.into()).await.is_ok() {
+        mirror.lost.set(false);
+    }
+}
+
 /// Keeps the copy current until the process ends.
 pub async fn follow(shared: Rc<Shared>, mirror: Rc<Mirror>) {
     loop {
