Bar a run for good once a stop of it was answered

Cause: a run in doubt is over once a listing, asked for after a stop was answered, does not show it. Ruled out: the record (it held the place) and the worker (it listed nothing). Change: the first answer counts; a stop bars its run for good. Test: a_barred_run_is_over_though_looks_overlap_its_stops failed before.

--- a/crates/fleet/src/ledger/orders.rs
+++ b/crates/fleet/src/ledger/orders.rs
@@ -181,7 +181,7 @@
     fn stop_answered(&mut self, id: &SmolStr, key: TaskKey, answer: &Answer, now: Duration) {
         let run = self.jobs.get_mut(id).and_then(|e| e.runs.get_mut(&key));
         if let Some(run) = run.filter(|_| *answer == Answer::Accepted) {
-            run.barred = Some(now);
+            run.barred.get_or_insert(now);
         }
     }
 }
--- a/crates/fleet/tests/suite/fixtures.rs
+++ b/crates/fleet/tests/suite/fixtures.rs
@@ -177,6 +177,11 @@
 
     pub fn round(&mut self) {
         self.look_all();
+        self.plan();
+    }
+
+    /// Plans, stores what was planned and has it carried out.
+    pub fn plan(&mut self) {
         self.ledger.plan(self.now, WALL + self.now.as_millis() as u64);
         self.store_all();
         self.obey_all();
@@ -199,6 +204,14 @@
         }
     }
 
+    /// Has the ledger take in a listing that it asked for at `sent`.
+    pub fn list(&mut self, node: &str, sent: Duration) {
+        let fake = self.workers.get_mut(node).expect("the worker is there");
+        let (announced, listing) = (fake.announcement(), fake.listing(self.now));
+        self.ledger
+            .listed(&node.into(), sent, self.now, announced, listing);
+    }
+
     pub fn store_all(&mut self) {
         while let Some(batch) = self.ledger.take_batch(WALL) {
             self.revision += 1;
--- a/crates/fleet/tests/suite/takeover.rs
+++ b/crates/fleet/tests/suite/takeover.rs
@@ -71,3 +71,24 @@
     assert_eq!(early, 1);
     assert_eq!(rig.starts.len(), 2);
 }
+
+#[test]
+fn a_barred_run_is_over_though_looks_overlap_its_stops() {
+    let mut rig = rig().with("n1", worker("w1", "r1"));
+    rig.submit(job("j", vec![step(1, 8)]));
+    rig.run(MOMENT);
+    rig.workers.get_mut("n1").expect("it is there").running.clear();
+
+    rig.take_over();
+    let mut sent = rig.now;
+    for _ in 0..6 {
+        rig.now += Duration::from_millis(3);
+        rig.obey_all();
+        rig.now = sent + Duration::from_millis(400);
+        rig.list("n1", sent);
+        sent = rig.now;
+    }
+    rig.plan();
+
+    assert_eq!(rig.places("j").len(), 1);
+}
