Let the lease of a worker out of touch lapse; end the runs of one that left

Ruled out: the plan (the tasks had a run) and the record. Change: no grant to a worker not heard for 2.6 s; a sidecar answers that its worker has left, and the runs of that life are over after 0.5 s. Tests: the departures suite; the one on silence failed before.

--- a/crates/fleet/src/ledger/fit.rs
+++ b/crates/fleet/src/ledger/fit.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 /// A worker that was not heard for this long gets no work.
-const FRESH: Duration = Duration::from_millis(2_600);
+pub(super) const FRESH: Duration = Duration::from_millis(2_600);
 
 /// Holds the room of one worker while a plan is made.
 #[derive(Clone, Debug)]
--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -152,6 +152,8 @@
     pending: Vec<(u64, Vec<(SmolStr, u64)>)>,
     strays: HashMap<(TaskId, u64), Duration>,
     health: health::Health,
+    /// The life that has left, and when that became known.
+    left: Option<(SmolStr, Duration)>,
 }
 
 /// Enumerates what the placer wants done.
@@ -440,6 +442,7 @@
             pending: Vec::new(),
             strays: HashMap::new(),
             health: health::Health::default(),
+            left: None,
         }
     }
 
--- a/crates/fleet/src/ledger/orders.rs
+++ b/crates/fleet/src/ledger/orders.rs
@@ -4,6 +4,7 @@
 use super::Ledger;
 use super::Phase;
 use super::TaskKey;
+use super::fit::FRESH;
 use super::stretch;
 use crate::worker::Answer;
 use crate::worker::Boot;
@@ -48,6 +49,8 @@
     pub(super) fn grant(&mut self, node: &str, now: Duration) -> Option<u64> {
         let hold = self.bounds.hold - GRANT_SLACK;
         let worker = self.workers.get_mut(node)?;
+        // A worker out of touch gets no grant, so that its lease is known to lapse.
+        worker.heard.filter(|at| now < *at + FRESH)?;
         let (clock, read) = worker.clock?;
         let passed = (now - read) * (100 - super::CLOCK_DRIFT) / 100;
         let lapse = now + stretch(hold) + DELIVERY;
@@ -64,6 +67,18 @@
         self.note(Decision::WorkerSilent, node, "", detail);
     }
 
+    /// Takes in that a life of a worker has left.
+    pub fn left(&mut self, node: &SmolStr, id: &SmolStr, now: Duration) {
+        let Some(worker) = self.workers.get_mut(node) else {
+            return;
+        };
+        worker.heard = None;
+        if worker.left.as_ref().is_none_or(|(known, _)| known != id) {
+            worker.left = Some((id.clone(), now));
+            self.note(Decision::WorkerSilent, node, "", format!("boot={id} has left"));
+        }
+    }
+
     /// Takes in the answer to an order other than a look.
     ///
     /// `doubtful` tells that an earlier attempt got no answer.
--- a/crates/fleet/src/ledger/plan.rs
+++ b/crates/fleet/src/ledger/plan.rs
@@ -22,6 +22,8 @@
 const MAX_PATIENCE: Duration = Duration::from_secs(8);
 /// A step that waited this long gets workers kept for it.
 const KEEP_AFTER: Duration = Duration::from_millis(1_500);
+/// Time for a worker that has left to end.
+const DEPARTURE: Duration = Duration::from_millis(500);
 /// The pause between two writes of new checkpoints.
 const SAVE_PAUSE: Duration = Duration::from_secs(1);
 /// The steps for which workers are kept at once.
@@ -77,6 +79,12 @@
         for (id, entry) in &self.jobs {
             for (key, run) in &entry.runs {
                 let worker = self.workers.get(&run.node);
+                let left = worker.and_then(|w| w.left.as_ref());
+                let ended = left.filter(|(id, _)| *id == run.boot.id);
+                if ended.is_some_and(|(_, at)| now > *at + DEPARTURE) {
+                    lapsed.push((id.clone(), *key));
+                    continue;
+                }
                 let horizon = worker.map_or(begun, |w| w.horizon.max(begun));
                 let silent = worker.and_then(|w| w.heard).is_none_or(|at| at < run.since);
                 let heard = worker.and_then(|w| w.heard).unwrap_or_default();
@@ -87,7 +95,7 @@
             }
         }
         for (id, key) in lapsed {
-            self.lose(&id, key, "the worker's lease has lapsed", now);
+            self.lose(&id, key, "the worker has left or its lease has lapsed", now);
         }
     }
 
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -229,6 +229,8 @@
     Listed(Box<Announcement>, Box<Listing>),
     /// The order was not carried out.
     Refused(Refusal),
+    /// The worker with this identifier has left; nothing runs on it any longer.
+    Left(SmolStr),
     /// The worker did not answer; the order may take effect later.
     Silent,
 }
--- /dev/null
+++ b/crates/fleet/tests/suite/departures.rs
@@ -0,0 +1,45 @@
+//! Workers that fall silent or leave.
+
+use crate::fixtures::job;
+use crate::fixtures::rig;
+use crate::fixtures::step;
+use crate::fixtures::worker;
+use std::time::Duration;
+
+const MOMENT: Duration = Duration::from_millis(300);
+
+#[test]
+fn runs_of_a_worker_that_falls_silent_are_started_again_after_its_lease() {
+    let mut rig = rig()
+        .with("n1", worker("w1", "r1"))
+        .with("n2", worker("w2", "r1"));
+    rig.submit(job("j", vec![step(1, 8)]));
+    rig.run(MOMENT);
+    let node = rig.places("j")[0].1.clone();
+
+    rig.workers.get_mut(&node).expect("it is there").reachable = false;
+    rig.run(Duration::from_secs(9));
+    let early = rig.starts.len();
+    rig.run(Duration::from_secs(4));
+
+    assert_eq!(early, 1);
+    assert_eq!(rig.starts.len(), 2);
+}
+
+#[test]
+fn runs_of_a_worker_that_has_left_are_started_again_within_a_second() {
+    let mut rig = rig()
+        .with("n1", worker("w1", "r1"))
+        .with("n2", worker("w2", "r1"));
+    rig.submit(job("j", vec![step(1, 8)]));
+    rig.run(MOMENT);
+    let node = rig.places("j")[0].1.clone();
+
+    let fake = rig.workers.get_mut(&node).expect("it is there");
+    fake.reachable = false;
+    let id = fake.boot.id.clone();
+    rig.ledger.left(&node, &id, rig.now);
+    rig.run(Duration::from_secs(1));
+
+    assert_eq!(rig.starts.len(), 2);
+}
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the job records and the placer's ledger.
 
+mod departures;
 mod fixtures;
 mod takeover;
--- a/crates/roles/src/fleet/agent.rs
+++ b/crates/roles/src/fleet/agent.rs
@@ -28,6 +28,7 @@
 use hibiscusbarrow_fleet::worker::Refusal;
 use hibiscusbarrow_model::code::Code;
 use hibiscusbarrow_model::event::Event;
+use smol_str::SmolStr;
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -44,6 +45,8 @@
     shared: Rc<Shared>,
     worker: Worker,
     announced: RefCell<Option<Announcement>>,
+    /// The identifier of the worker that left last.
+    left: RefCell<Option<SmolStr>>,
     /// The highest epoch of a placer.
     epoch: Cell<u64>,
     /// When an order last arrived.
@@ -67,6 +70,7 @@
     let agent = Rc::new(Agent {
         worker,
         announced: RefCell::new(None),
+        left: RefCell::new(None),
         epoch: Cell::new(0),
         heard: Cell::new(shared.clock.now()),
         shared: shared.clone(),
@@ -127,6 +131,7 @@
                 let mut held = self.announced.borrow_mut();
                 if held.as_ref().is_some_and(|a| a.boot.id == id) {
                     *held = None;
+                    *self.left.borrow_mut() = Some(id.clone());
                     self.shared.log.note(Event::UpstreamLeaving, id, "the worker has left");
                 }
                 text_reply(200, "")
@@ -203,7 +208,8 @@
         }
         self.epoch.set(envelope.epoch);
         let Some(announced) = self.announced.borrow().clone() else {
-            return Answer::Refused(Refusal::Boot);
+            let left = self.left.borrow().clone();
+            return left.map_or(Answer::Refused(Refusal::Boot), Answer::Left);
         };
         let mut envelope = envelope;
         if envelope.boot != announced.boot.id {
@@ -226,7 +232,7 @@
                 Some(newest) => Answer::Listed(Box::new(newest), listing),
                 None => Answer::Refused(Refusal::Boot),
             },
-            Answer::Accepted => answer,
+            Answer::Accepted | Answer::Left(_) => answer,
             Answer::Refused(_) | Answer::Silent => {
                 let detail = format!("epoch={} {:?}: {answer:?}", envelope.epoch, envelope.order);
                 let log = &self.shared.log;
--- a/crates/roles/src/fleet/placer.rs
+++ b/crates/roles/src/fleet/placer.rs
@@ -305,6 +305,10 @@
                     self.look(node);
                 }
             }
+            Answer::Left(id) => {
+                self.ledger.left(&node, &id, now);
+                self.later(node, LOOK_PAUSE);
+            }
             other => {
                 if self.silent.insert(node.clone()) {
                     self.ledger.silent(&node, now);
