--- a/crates/fleet/src/ledger/plan.rs
+++ b/crates/fleet/src/ledger/plan.rs
@@ -53,9 +53,9 @@
                 continue;
             }
             let areas = self.areas(&candidate, &slots);
-            if self.try_start(&candidate, &mut slots, &areas, now) {
+            let Some(candidate) = self.try_start(candidate, &mut slots, &areas, now) else {
                 continue;
-            }
+            };
             let budget = match candidate.class {
                 GUARANTEED => Some(u64::MAX),
                 ORDINARY => Some(URGENT_COST),
@@ -264,14 +264,15 @@
         areas
     }
 
+    /// Starts what fits, and returns what does not.
     fn try_start(
         &mut self,
-        candidate: &Candidate,
+        candidate: Candidate,
         slots: &mut [Slot],
         areas: &[Area],
         now: Duration,
-    ) -> bool {
-        let mut rest = candidate.clone();
+    ) -> Option<Candidate> {
+        let mut rest = candidate;
         for area in areas {
             let placed = self.fit(&rest, slots, area);
             if placed.is_empty() {
@@ -288,12 +289,12 @@
                 })
                 .collect();
             rest.indices.retain(|i| !placed.iter().any(|(p, _)| p == i));
-            self.intend(candidate, placed, now);
+            self.intend(&rest, placed, now);
             if rest.indices.is_empty() {
-                return true;
+                return None;
             }
         }
-        rest.indices.is_empty()
+        Some(rest)
     }
 
     /// Writes the intent to start tasks into the record.
--- a/crates/fleet/src/ledger/preempt.rs
+++ b/crates/fleet/src/ledger/preempt.rs
@@ -12,6 +12,7 @@
 use super::need;
 use crate::worker::Room;
 use smol_str::SmolStr;
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -50,7 +51,7 @@
     ) -> bool {
         let ways = areas.iter().filter_map(|a| self.clear(candidate, classes, slots, a, now));
         let affordable = ways.filter(|w| w.cost <= budget);
-        let Some(way) = affordable.min_by_key(|w| w.cost) else {
+        let Some(way) = affordable.min_by_key(|w| (Reverse(w.used.len()), w.cost)) else {
             return false;
         };
         *slots = way.slots;
@@ -105,14 +106,19 @@
                     best = Some((cost, at, victims));
                 }
             }
-            let (cost, at, victims) = best?;
+            let Some((cost, at, victims)) = best else {
+                if step.gang {
+                    return None;
+                }
+                break;
+            };
             way.cost += cost;
             self.free_victims(&mut way, victims);
             take_freeing(&mut way.slots[at], &wanted);
             way.used.push(at);
             placed.push((*index, at));
         }
-        Some(way)
+        (!placed.is_empty()).then_some(way)
     }
 
     /// Returns the cheapest runs on a worker whose end makes room for a task.
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -3,3 +3,4 @@
 mod departures;
 mod fixtures;
 mod takeover;
+mod urgency;
