Prove the ledger over random interleavings; close four holes it found

A model plays placers, a store and workers with delays of up to 10 s, lost answers, replaced placers, cuts and workers reborn under the same or another identifier, and checks each start against an oracle. Found and mended, each kept as a regression seed: - a worker reborn under its identifier may have carried out a start that was answered: its runs are now in doubt, not gone; - an order reached the next life of a worker: orders name identifier and birth, and the sidecar compares both; - a run ordered to a former life was stopped there for ever: each listing settles runs of former lives; - a start long on its way reached a reborn worker that had forgotten the stop: the sidecar remembers ended runs.

--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -146,7 +146,9 @@
                 return Err(format!("steps[{i}].count: not 1 to {MAX_TASKS}"));
             }
             if step.after.iter().any(|a| *a as usize >= i) {
-                return Err(format!("steps[{i}].after: names a step that is not earlier"));
+                return Err(format!(
+                    "steps[{i}].after: names a step that is not earlier"
+                ));
             }
         }
         Ok(())
@@ -166,6 +168,9 @@
     /// Returns the accelerators of the widest step, which a guarantee must cover.
     pub fn accelerators(&self) -> u64 {
         let steps = self.steps.iter();
-        steps.map(|s| s.gpus * u64::from(s.count)).max().unwrap_or(0)
+        steps
+            .map(|s| s.gpus * u64::from(s.count))
+            .max()
+            .unwrap_or(0)
     }
 }
--- a/crates/fleet/src/ledger/fit.rs
+++ b/crates/fleet/src/ledger/fit.rs
@@ -102,7 +102,12 @@
         slot.service == entry.record.job.service
             && (step.label.is_empty() || slot.labels.contains(&step.label))
             && self
-                .ticket(&candidate.job, candidate.round, candidate.step, &slot.boot.id)
+                .ticket(
+                    &candidate.job,
+                    candidate.round,
+                    candidate.step,
+                    &slot.boot.id,
+                )
                 .is_some()
     }
 
@@ -174,7 +179,9 @@
     }
     let same = |key: &TaskKey| (key.0, key.1) == (candidate.round, candidate.step);
     let running = entry.runs.iter();
-    let there = running.filter(|(k, r)| same(k) && r.node == slot.node).count();
+    let there = running
+        .filter(|(k, r)| same(k) && r.node == slot.node)
+        .count();
     let here = placed.iter().filter(|(_, p)| *p == at).count();
     ((there + here) as u64) < step.spread
 }
--- a/crates/fleet/src/ledger/listing.rs
+++ b/crates/fleet/src/ledger/listing.rs
@@ -35,10 +35,20 @@
             id: announced.boot.id.clone(),
             born: listing.born,
         };
-        if announced.boot.born != listing.born || !self.workers.contains_key(node) {
+        let Some(worker) = self.workers.get_mut(node) else {
+            return;
+        };
+        let overtaken = worker.asked.is_some_and(|at| sent < at);
+        if announced.boot.born != listing.born || overtaken {
             return;
         }
-        self.meet(node, &boot, now);
+        worker.asked = Some(sent);
+        self.meet(node, &boot);
+        for (id, key, phase) in self.runs_on(node, |r| r.boot != boot) {
+            if phase != Phase::Planned {
+                self.meet_run(&id, key, &boot, now);
+            }
+        }
         let draining = announced.draining;
         let Some(worker) = self.workers.get_mut(node) else {
             return;
@@ -49,7 +59,12 @@
         worker.rack = rack(&announced.labels);
         worker.announced = Some(announced);
         if draining && !was {
-            self.note(Decision::WorkerDraining, node, "", format!("boot={}", boot.id));
+            self.note(
+                Decision::WorkerDraining,
+                node,
+                "",
+                format!("boot={}", boot.id),
+            );
         }
         self.take_ends(node, &listing.ended, now);
         let listed = self.take_running(node, &boot, &listing.running, now);
@@ -58,7 +73,7 @@
     }
 
     /// Takes in which life of a worker answers.
-    fn meet(&mut self, node: &SmolStr, boot: &Boot, now: Duration) {
+    fn meet(&mut self, node: &SmolStr, boot: &Boot) {
         let Some(worker) = self.workers.get_mut(node) else {
             return;
         };
@@ -73,11 +88,6 @@
         worker.health = super::health::Health::default();
         let detail = format!("boot={} born={} before={before:?}", boot.id, boot.born);
         self.note(Decision::WorkerSeen, node, "", detail);
-        for (id, key, phase) in self.runs_on(node, |r| r.boot != *boot) {
-            if phase != Phase::Planned {
-                self.meet_run(&id, key, boot, now);
-            }
-        }
     }
 
     /// Settles a run of a former life of the worker that answers now.
@@ -87,8 +97,8 @@
             return;
         };
         // Orders name the life that they are meant for by its identifier alone, so
-        // that a late one can only reach another life of the same identifier.
-        if run.boot.id == boot.id && run.silent {
+        // that another life of the same identifier may have carried them out.
+        if run.boot.id == boot.id {
             run.barred = None;
             run.stopped = None;
             run.boot = boot.clone();
@@ -276,6 +286,7 @@
 
 /// Returns the label that names a rack.
 fn rack(labels: &[SmolStr]) -> SmolStr {
-    let named = |l: &&SmolStr| l.starts_with(RACK) && l[1..].starts_with(|c: char| c.is_ascii_digit());
+    let named =
+        |l: &&SmolStr| l.starts_with(RACK) && l[1..].starts_with(|c: char| c.is_ascii_digit());
     labels.iter().find(named).cloned().unwrap_or_default()
 }
--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -142,6 +142,8 @@
     /// The worker's clock in milliseconds, and when it was read at the latest.
     clock: Option<(u64, Duration)>,
     heard: Option<Duration>,
+    /// When the newest listing was asked for.
+    asked: Option<Duration>,
     /// When the last lease that was granted ends at the latest.
     horizon: Duration,
     /// Ends up to this number were taken into the records.
@@ -436,6 +438,7 @@
             rack: SmolStr::default(),
             clock: None,
             heard: None,
+            asked: None,
             horizon,
             processed: 0,
             seen: 0,
--- a/crates/fleet/src/ledger/orders.rs
+++ b/crates/fleet/src/ledger/orders.rs
@@ -36,7 +36,7 @@
         };
         Some(Envelope {
             epoch: self.epoch,
-            boot: worker.boot.as_ref().map(|b| b.id.clone()).unwrap_or_default(),
+            boot: worker.boot.clone(),
             order: Order::Look {
                 seen: worker.seen,
                 deadline,
@@ -63,7 +63,10 @@
         let Some(worker) = self.workers.get(node) else {
             return;
         };
-        let detail = format!("heard={:?} horizon={:?} now={now:?}", worker.heard, worker.horizon);
+        let detail = format!(
+            "heard={:?} horizon={:?} now={now:?}",
+            worker.heard, worker.horizon
+        );
         self.note(Decision::WorkerSilent, node, "", detail);
     }
 
@@ -75,7 +78,12 @@
         worker.heard = None;
         if worker.left.as_ref().is_none_or(|(known, _)| known != id) {
             worker.left = Some((id.clone(), now));
-            self.note(Decision::WorkerSilent, node, "", format!("boot={id} has left"));
+            self.note(
+                Decision::WorkerSilent,
+                node,
+                "",
+                format!("boot={id} has left"),
+            );
         }
     }
 
--- a/crates/fleet/src/ledger/plan.rs
+++ b/crates/fleet/src/ledger/plan.rs
@@ -197,7 +197,10 @@
                 }
                 for (at, step) in job.steps.iter().enumerate() {
                     let at = at as u32;
-                    let blocked = step.after.iter().any(|a| !entry.record.step_done(round, *a));
+                    let blocked = step
+                        .after
+                        .iter()
+                        .any(|a| !entry.record.step_done(round, *a));
                     if blocked {
                         continue;
                     }
--- a/crates/fleet/src/ledger/policy.rs
+++ b/crates/fleet/src/ledger/policy.rs
@@ -45,13 +45,7 @@
 
 impl Ledger {
     /// Tells whether a step may be placed, and asks the policy if it must.
-    pub(super) fn approved(
-        &mut self,
-        id: &SmolStr,
-        round: u32,
-        step: u32,
-        now: Duration,
-    ) -> bool {
+    pub(super) fn approved(&mut self, id: &SmolStr, round: u32, step: u32, now: Duration) -> bool {
         let Some(entry) = self.jobs.get_mut(id) else {
             return false;
         };
@@ -85,7 +79,12 @@
         if entry.record.job.policy.is_none() {
             return Some(SmolStr::default());
         }
-        entry.approvals.get(&(round, step))?.tickets.get(boot).cloned()
+        entry
+            .approvals
+            .get(&(round, step))?
+            .tickets
+            .get(boot)
+            .cloned()
     }
 
     /// Takes in the answer to an inquiry that was sent at `sent`.
--- a/crates/fleet/src/ledger/preempt.rs
+++ b/crates/fleet/src/ledger/preempt.rs
@@ -49,7 +49,9 @@
         budget: u64,
         now: Duration,
     ) -> bool {
-        let ways = areas.iter().filter_map(|a| self.clear(candidate, classes, slots, a, now));
+        let ways = areas
+            .iter()
+            .filter_map(|a| self.clear(candidate, classes, slots, a, now));
         let affordable = ways.filter(|w| w.cost <= budget);
         let Some(way) = affordable.min_by_key(|w| (Reverse(w.used.len()), w.cost)) else {
             return false;
@@ -68,7 +70,10 @@
     }
 
     fn account_of(&self, id: &str) -> SmolStr {
-        self.jobs.get(id).map(|e| e.record.job.account.clone()).unwrap_or_default()
+        self.jobs
+            .get(id)
+            .map(|e| e.record.job.account.clone())
+            .unwrap_or_default()
     }
 
     fn clear(
--- a/crates/fleet/src/ledger/writes.rs
+++ b/crates/fleet/src/ledger/writes.rs
@@ -109,7 +109,9 @@
 
     /// Returns whether a worker's ends wait for records to be stored.
     pub fn awaits_store(&self, node: &str) -> bool {
-        self.workers.get(node).is_some_and(|w| !w.pending.is_empty())
+        self.workers
+            .get(node)
+            .is_some_and(|w| !w.pending.is_empty())
     }
 
     fn mark_ended(&mut self, wall: u64) {
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -104,7 +104,8 @@
         let key = (round, step, index);
         let at = self.tasks.binary_search_by_key(&key, |t| (t.0, t.1, t.2));
         let at = at.unwrap_or_else(|free| {
-            self.tasks.insert(free, (round, step, index, Progress::default()));
+            self.tasks
+                .insert(free, (round, step, index, Progress::default()));
             free
         });
         &mut self.tasks[at].3
@@ -114,7 +115,9 @@
     pub fn step_done(&self, round: u32, step: u32) -> bool {
         let from = self.tasks.partition_point(|t| (t.0, t.1) < (round, step));
         let of_step = self.tasks[from..].iter();
-        let done = of_step.take_while(|t| (t.0, t.1) == (round, step)).filter(|t| t.3.done);
+        let done = of_step
+            .take_while(|t| (t.0, t.1) == (round, step))
+            .filter(|t| t.3.done);
         done.count() as u32 >= self.job.steps[step as usize].count
     }
 
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -191,8 +191,8 @@
 pub struct Envelope {
     /// The epoch of the placer.
     pub epoch: u64,
-    /// The identifier of the life that the order is meant for; empty for any.
-    pub boot: SmolStr,
+    /// The life that the order is meant for; none is known before the first listing.
+    pub boot: Option<Boot>,
     /// The order.
     pub order: Order,
 }
--- a/crates/fleet/tests/suite/fixtures.rs
+++ b/crates/fleet/tests/suite/fixtures.rs
@@ -145,14 +145,6 @@
         self.ledger.put_job(record, self.revision, self.now);
     }
 
-    pub fn cancel(&mut self, id: &str) {
-        self.revision += 1;
-        let (record, revision) = self.stored.get_mut(id).expect("the job is stored");
-        record.cancelled = true;
-        *revision = self.revision;
-        self.ledger.put_job(record.clone(), self.revision, self.now);
-    }
-
     /// Replaces the placer by another one that reads the store.
     pub fn take_over(&mut self) {
         self.epoch += 1;
@@ -182,7 +174,8 @@
 
     /// Plans, stores what was planned and has it carried out.
     pub fn plan(&mut self) {
-        self.ledger.plan(self.now, WALL + self.now.as_millis() as u64);
+        self.ledger
+            .plan(self.now, WALL + self.now.as_millis() as u64);
         self.store_all();
         self.obey_all();
     }
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -2,5 +2,6 @@
 
 mod departures;
 mod fixtures;
+mod model;
 mod takeover;
 mod urgency;
--- a/crates/fleet/tests/suite/takeover.rs
+++ b/crates/fleet/tests/suite/takeover.rs
@@ -77,7 +77,11 @@
     let mut rig = rig().with("n1", worker("w1", "r1"));
     rig.submit(job("j", vec![step(1, 8)]));
     rig.run(MOMENT);
-    rig.workers.get_mut("n1").expect("it is there").running.clear();
+    rig.workers
+        .get_mut("n1")
+        .expect("it is there")
+        .running
+        .clear();
 
     rig.take_over();
     let mut sent = rig.now;
--- a/crates/roles/src/fleet/agent.rs
+++ b/crates/roles/src/fleet/agent.rs
@@ -21,6 +21,7 @@
 use hibiscusbarrow_adapters::rpc::ForwardRequest;
 use hibiscusbarrow_adapters::rpc::Handlers;
 use hibiscusbarrow_adapters::signal::Flag;
+use hibiscusbarrow_fleet::bars::Bars;
 use hibiscusbarrow_fleet::worker::Announcement;
 use hibiscusbarrow_fleet::worker::Answer;
 use hibiscusbarrow_fleet::worker::Envelope;
@@ -47,6 +48,8 @@
     announced: RefCell<Option<Announcement>>,
     /// The identifier of the worker that left last.
     left: RefCell<Option<SmolStr>>,
+    /// Runs that ended, so that no late order starts them again.
+    bars: RefCell<Bars>,
     /// The highest epoch of a placer.
     epoch: Cell<u64>,
     /// When an order last arrived.
@@ -61,16 +64,25 @@
 pub async fn run(shared: Shared, worker: Worker) -> anyhow::Result<()> {
     let shared = Rc::new(shared);
     let settings = &shared.settings;
-    let beats = settings.beats.context("the settings name no address for heartbeats")?;
-    let beats = TcpListener::bind(beats).await.context("binding for heartbeats")?;
-    let peers = TcpListener::bind(settings.peer).await.context("binding for peers")?;
+    let beats = settings
+        .beats
+        .context("the settings name no address for heartbeats")?;
+    let beats = TcpListener::bind(beats)
+        .await
+        .context("binding for heartbeats")?;
+    let peers = TcpListener::bind(settings.peer)
+        .await
+        .context("binding for peers")?;
     serve_metrics(shared.metrics.clone(), settings.metrics);
     let detail = format!("sidecar beats={:?} peer={}", settings.beats, settings.peer);
-    shared.log.note(Event::Started, settings.name.clone(), detail);
+    shared
+        .log
+        .note(Event::Started, settings.name.clone(), detail);
     let agent = Rc::new(Agent {
         worker,
         announced: RefCell::new(None),
         left: RefCell::new(None),
+        bars: RefCell::new(Bars::default()),
         epoch: Cell::new(0),
         heard: Cell::new(shared.clock.now()),
         shared: shared.clone(),
@@ -88,7 +100,11 @@
     compio::runtime::spawn(serving).detach();
     shared.stop.wait().await;
     sleep(FAREWELL).await;
-    shared.log.note(Event::Stopped, shared.settings.name.clone(), "orders answered");
+    shared.log.note(
+        Event::Stopped,
+        shared.settings.name.clone(),
+        "orders answered",
+    );
     Ok(())
 }
 
@@ -132,13 +148,19 @@
                 if held.as_ref().is_some_and(|a| a.boot.id == id) {
                     *held = None;
                     *self.left.borrow_mut() = Some(id.clone());
-                    self.shared.log.note(Event::UpstreamLeaving, id, "the worker has left");
+                    self.shared
+                        .log
+                        .note(Event::UpstreamLeaving, id, "the worker has left");
                 }
                 text_reply(200, "")
             }
             Err(detail) => {
                 let log = &self.shared.log;
-                log.note(Event::BeatRefused, self.shared.settings.name.clone(), detail);
+                log.note(
+                    Event::BeatRefused,
+                    self.shared.settings.name.clone(),
+                    detail,
+                );
                 text_reply(400, "")
             }
         }
@@ -154,7 +176,9 @@
                     "born={} sequence={} known: born={} sequence={}",
                     news.boot.born, news.sequence, known.boot.born, known.sequence
                 );
-                self.shared.log.note(Event::BeatRefused, news.boot.id, detail);
+                self.shared
+                    .log
+                    .note(Event::BeatRefused, news.boot.id, detail);
                 return text_reply(200, "");
             }
         }
@@ -189,7 +213,9 @@
         let envelope = match envelope {
             Ok(envelope) if request.service == ORDERS => envelope,
             _ => {
-                self.shared.log.note(Event::PeerRefused, "order", "unreadable order");
+                self.shared
+                    .log
+                    .note(Event::PeerRefused, "order", "unreadable order");
                 return ForwardReply::failure(Code::BadRequest, "unreadable order");
             }
         };
@@ -212,31 +238,51 @@
             return left.map_or(Answer::Refused(Refusal::Boot), Answer::Left);
         };
         let mut envelope = envelope;
-        if envelope.boot != announced.boot.id {
+        if envelope.boot.as_ref() != Some(&announced.boot) {
             match &mut envelope.order {
                 // Neither the numbers of ends nor the clock of a former life apply.
-                Order::Look { seen, deadline, wait } => {
+                Order::Look {
+                    seen,
+                    deadline,
+                    wait,
+                } => {
                     (*seen, *deadline, *wait) = (0, None, 0);
                 }
                 _ => return Answer::Refused(Refusal::Boot),
             }
         }
-        let starts = matches!(envelope.order, Order::Start(_));
-        if starts && (announced.draining || self.shared.stop.is_raised()) {
-            return Answer::Refused(Refusal::Draining);
+        if let Order::Start(start) = &envelope.order {
+            if announced.draining || self.shared.stop.is_raised() {
+                return Answer::Refused(Refusal::Draining);
+            }
+            if self.bars.borrow().is_barred(&start.task, start.run) {
+                return Answer::Refused(Refusal::Old);
+            }
+        }
+        if let Order::Stop { task, run } = &envelope.order {
+            self.bars.borrow_mut().bar(task, *run);
         }
         let answer = (self.worker.order)(envelope.clone(), announced).await;
         match answer {
             // The newest heartbeat may have arrived while the worker was asked.
-            Answer::Listed(_, listing) => match self.announced.borrow().clone() {
-                Some(newest) => Answer::Listed(Box::new(newest), listing),
-                None => Answer::Refused(Refusal::Boot),
-            },
+            Answer::Listed(_, listing) => {
+                for end in &listing.ended {
+                    self.bars.borrow_mut().bar(&end.task, end.run);
+                }
+                match self.announced.borrow().clone() {
+                    Some(newest) => Answer::Listed(Box::new(newest), listing),
+                    None => Answer::Refused(Refusal::Boot),
+                }
+            }
             Answer::Accepted | Answer::Left(_) => answer,
             Answer::Refused(_) | Answer::Silent => {
                 let detail = format!("epoch={} {:?}: {answer:?}", envelope.epoch, envelope.order);
                 let log = &self.shared.log;
-                log.note(Event::OrderRefused, self.shared.settings.name.clone(), detail);
+                log.note(
+                    Event::OrderRefused,
+                    self.shared.settings.name.clone(),
+                    detail,
+                );
                 answer
             }
         }
--- a/crates/roles/src/fleet/front.rs
+++ b/crates/roles/src/fleet/front.rs
@@ -109,7 +109,9 @@
         began: Duration,
     ) -> Result<Admitted, Code> {
         let host = request.header("host");
-        let (queue, rest) = manifest.route(host, &request.path).ok_or(Code::UnknownService)?;
+        let (queue, rest) = manifest
+            .route(host, &request.path)
+            .ok_or(Code::UnknownService)?;
         let key = (self.callers.key)(request);
         let account: Option<&Account> = key.and_then(|k| manifest.account(&k));
         if account.is_none() && !queue.public {
@@ -127,8 +129,12 @@
 
     fn count_waiting(&self, admitted: &Admitted) -> (Code, Reply) {
         let jobs = self.mirror.jobs.borrow();
-        let of_queue = jobs.values().filter(|s| s.record.job.queue == admitted.queue.name);
-        let waiting = of_queue.filter(|s| s.record.state() == State::Queued).count();
+        let of_queue = jobs
+            .values()
+            .filter(|s| s.record.job.queue == admitted.queue.name);
+        let waiting = of_queue
+            .filter(|s| s.record.state() == State::Queued)
+            .count();
         (Code::Done, json((self.callers.waiting)(waiting as u64)))
     }
 
@@ -152,7 +158,9 @@
         let job = match self.job(admitted, body) {
             Ok(job) => job,
             Err(detail) => {
-                self.shared.log.note(Event::JobRefused, admitted.rest.clone(), detail.clone());
+                self.shared
+                    .log
+                    .note(Event::JobRefused, admitted.rest.clone(), detail.clone());
                 return (Code::BadRequest, text_reply(400, detail));
             }
         };
@@ -171,7 +179,10 @@
         let mut doubt = false;
         let mut refusals = 0;
         loop {
-            match self.commit(txn.clone(), admitted.until.min(began + MAX_DOUBT)).await {
+            match self
+                .commit(txn.clone(), admitted.until.min(began + MAX_DOUBT))
+                .await
+            {
                 Ok(Outcome::Committed(revision)) => {
                     self.accepted(admitted, &record, revision);
                     return (Code::Done, json(Bytes::from_static(b"{}")));
@@ -223,12 +234,16 @@
             admitted.version
         );
         let account = admitted.account.clone();
-        self.shared.log.note_for(Event::JobAccepted, id.clone(), account, detail);
+        self.shared
+            .log
+            .note_for(Event::JobAccepted, id.clone(), account, detail);
     }
 
     /// Answers a job that is stored already.
     fn repeated(&self, admitted: &Admitted, record: &Record, items: &[Item]) -> (Code, Reply) {
-        let held = items.iter().find_map(|i| Some((i.value.as_ref()?, i.revision)));
+        let held = items
+            .iter()
+            .find_map(|i| Some((i.value.as_ref()?, i.revision)));
         let stored = held.and_then(|(v, r)| Some((Record::decode(v).ok()?, r)));
         let same = stored.as_ref().is_some_and(|(held, _)| {
             held.job.spec == record.job.spec && held.job.steps == record.job.steps
@@ -244,7 +259,10 @@
 
     async fn cancel(&self, admitted: &Admitted) -> (Code, Reply) {
         let id = &admitted.rest;
-        let mut held = self.mirror.job(id).map(|s| ((*s.record).clone(), s.revision));
+        let mut held = self
+            .mirror
+            .job(id)
+            .map(|s| ((*s.record).clone(), s.revision));
         let mut doubt = false;
         loop {
             if held.is_none() {
@@ -290,7 +308,11 @@
                 }
             }
             if self.shared.clock.now() + RETRY > admitted.until {
-                let code = if doubt { Code::AcceptUnknown } else { Code::NotAccepted };
+                let code = if doubt {
+                    Code::AcceptUnknown
+                } else {
+                    Code::NotAccepted
+                };
                 return (code, come_back(code_status(code)));
             }
             sleep(RETRY).await;
--- a/crates/roles/src/fleet/gateway.rs
+++ b/crates/roles/src/fleet/gateway.rs
@@ -44,17 +44,36 @@
     let own = shared.store.clone();
     let shared = Rc::new(through_peers(shared, &mirror, &rpc));
     let settings = &shared.settings;
-    let front = settings.front.context("the settings name no address for callers")?;
-    let ready = settings.ready.context("the settings name no address for the balancer")?;
-    let front = TcpListener::bind(front).await.context("binding for callers")?;
-    let ready = TcpListener::bind(ready).await.context("binding for the balancer")?;
-    let peers = TcpListener::bind(settings.peer).await.context("binding for peers")?;
+    let front = settings
+        .front
+        .context("the settings name no address for callers")?;
+    let ready = settings
+        .ready
+        .context("the settings name no address for the balancer")?;
+    let front = TcpListener::bind(front)
+        .await
+        .context("binding for callers")?;
+    let ready = TcpListener::bind(ready)
+        .await
+        .context("binding for the balancer")?;
+    let peers = TcpListener::bind(settings.peer)
+        .await
+        .context("binding for peers")?;
     serve_metrics(shared.metrics.clone(), settings.metrics);
-    let detail = format!("gateway callers={:?} peer={}", settings.front, settings.peer);
-    shared.log.note(Event::Started, settings.name.clone(), detail);
+    let detail = format!(
+        "gateway callers={:?} peer={}",
+        settings.front, settings.peer
+    );
+    shared
+        .log
+        .note(Event::Started, settings.name.clone(), detail);
 
     spawn(mirror::follow(shared.clone(), mirror.clone()));
-    spawn(mirror::ask_peers(shared.clone(), mirror.clone(), rpc.clone()));
+    spawn(mirror::ask_peers(
+        shared.clone(),
+        mirror.clone(),
+        rpc.clone(),
+    ));
     spawn(enter(shared.clone()));
     spawn(serve_peers(peers, own, mirror.clone()));
     spawn(serve_ready(ready, shared.clone(), mirror.clone()));
@@ -73,7 +92,11 @@
     let handle = move |request| handler.clone().handle(request);
     serve(front, limits, shared.stop.clone(), handle).await;
     let _ = leading.await;
-    shared.log.note(Event::Stopped, shared.settings.name.clone(), "all requests answered");
+    shared.log.note(
+        Event::Stopped,
+        shared.settings.name.clone(),
+        "all requests answered",
+    );
     Ok(())
 }
 
--- a/crates/roles/src/fleet/lead.rs
+++ b/crates/roles/src/fleet/lead.rs
@@ -108,9 +108,7 @@
     };
     let epoch = match (shared.store.commit)(txn).await {
         Ok(Outcome::Committed(revision)) => revision,
-        Ok(Outcome::Conflict(items)) if holds(&items, &claim).is_some() => {
-            holds(&items, &claim)?
-        }
+        Ok(Outcome::Conflict(items)) if holds(&items, &claim).is_some() => holds(&items, &claim)?,
         Ok(_) => {
             let _ = (shared.store.revoke)(id).await;
             return None;
@@ -123,7 +121,11 @@
     };
     let mut lease = Lease::new(LEASE);
     lease.confirm(sent);
-    shared.log.note(Event::PlacerElected, "placer", format!("epoch={epoch} lease={id}"));
+    shared.log.note(
+        Event::PlacerElected,
+        "placer",
+        format!("epoch={epoch} lease={id}"),
+    );
     Some(Tenure {
         epoch,
         lost: Flag::default(),
@@ -136,7 +138,8 @@
 /// Returns the revision of the own claim if an earlier attempt entered it.
 fn holds(items: &[Item], claim: &Bytes) -> Option<u64> {
     let item = items.iter().find(|i| i.key == keys::PLACER);
-    item.filter(|i| i.value.as_ref() == Some(claim)).map(|i| i.revision)
+    item.filter(|i| i.value.as_ref() == Some(claim))
+        .map(|i| i.revision)
 }
 
 async fn renew(shared: Rc<Shared>, tenure: Rc<Tenure>) {
--- a/crates/roles/src/fleet/mirror.rs
+++ b/crates/roles/src/fleet/mirror.rs
@@ -184,7 +184,9 @@
         if item.revision <= known {
             return;
         }
-        self.revisions.borrow_mut().insert(item.key.clone(), item.revision);
+        self.revisions
+            .borrow_mut()
+            .insert(item.key.clone(), item.revision);
         if item.key == shared.store.manifest {
             if let Some(raw) = &item.value {
                 self.adopt(shared, raw, "store");
--- a/crates/roles/src/fleet/placer.rs
+++ b/crates/roles/src/fleet/placer.rs
@@ -177,7 +177,8 @@
             Input::Looked(node, sent, answer) => self.looked(node, sent, answer, now),
             Input::LookDue(node) => self.look(node),
             Input::Answered(node, boot, order, answer, doubtful) => {
-                self.ledger.answered(&node, &boot, &order, &answer, doubtful, now);
+                self.ledger
+                    .answered(&node, &boot, &order, &answer, doubtful, now);
             }
             Input::Stored(batch, stored) => self.stored(&batch, stored, now),
             Input::Advised(inquiry, sent, answer) => {
@@ -251,7 +252,9 @@
             Decision::Quarantined => Event::WorkerQuarantined,
             Decision::Paced => Event::RunPaced,
         };
-        self.shared.log.note_for(event, note.subject, note.account, note.detail);
+        self.shared
+            .log
+            .note_for(event, note.subject, note.account, note.detail);
     }
 
     fn look(&mut self, node: SmolStr) {
@@ -334,7 +337,7 @@
         };
         let envelope = Envelope {
             epoch: self.tenure.epoch,
-            boot: boot.id.clone(),
+            boot: Some(boot.clone()),
             order: order.clone(),
         };
         let (rpc, sender) = (self.rpc.clone(), self.sender.clone());
@@ -373,7 +376,9 @@
                 ),
                 Err(e) => format!("step={}.{} failed: {e}", inquiry.round, inquiry.step),
             };
-            shared.log.note(Event::PolicyAnswered, inquiry.job.clone(), detail);
+            shared
+                .log
+                .note(Event::PolicyAnswered, inquiry.job.clone(), detail);
             let _ = sender.unbounded_send(Input::Advised(inquiry, sent, answer.ok()));
         })
         .detach();
@@ -415,7 +420,9 @@
             return;
         };
         let detail = format!("revision={}", item.revision);
-        self.shared.log.note(Event::StoreConflict, id.clone(), detail);
+        self.shared
+            .log
+            .note(Event::StoreConflict, id.clone(), detail);
         match item.value.as_ref().map(|v| Record::decode(v)) {
             Some(Ok(record)) => self.ledger.conflicted(record, item.revision, now),
             Some(Err(e)) => {
@@ -494,7 +501,11 @@
         let held = item.and_then(|i| i.value.as_deref());
         held == w.value.as_deref()
     });
-    let newest = items.iter().filter(|i| i.key != keys::PLACER).map(|i| i.revision).max();
+    let newest = items
+        .iter()
+        .filter(|i| i.key != keys::PLACER)
+        .map(|i| i.revision)
+        .max();
     match newest {
         Some(revision) if landed => Stored::At(revision),
         _ => Stored::Conflict(items),
--- a/crates/roles/src/fleet/relay.rs
+++ b/crates/roles/src/fleet/relay.rs
@@ -155,10 +155,12 @@
             })
         }),
         revoke: Rc::new(move |id| {
-            revoke.clone().make(Call::Revoke(id), PATIENCE, |d| match d {
-                Done::Revoked => Some(()),
-                _ => None,
-            })
+            revoke
+                .clone()
+                .make(Call::Revoke(id), PATIENCE, |d| match d {
+                    Done::Revoked => Some(()),
+                    _ => None,
+                })
         }),
         ..direct
     }
@@ -299,13 +301,18 @@
         compio::runtime::spawn(async move {
             loop {
                 sleep(PROBE).await;
-                if (relay.store.get)(relay.store.manifest.clone()).await.is_ok() {
+                if (relay.store.get)(relay.store.manifest.clone())
+                    .await
+                    .is_ok()
+                {
                     break;
                 }
             }
             relay.up.set(true);
             relay.probing.set(false);
-            relay.log.note(Event::PathBack, "store", "calls go to the store directly");
+            relay
+                .log
+                .note(Event::PathBack, "store", "calls go to the store directly");
         })
         .detach();
     }
