--- /dev/null
+++ b/tests/testsuite/fleet.rs
@@ -0,0 +1,417 @@
+//! The fleet roles as separate processes, on stand-ins in the platform's form.
+
+use crate::cluster::block_on;
+use bytes::Bytes;
+use hibiscusbarrow_adapters::http::HttpClient;
+use hibiscusbarrow_platform::standin;
+use hibiscusbarrow_platform::standin::Place;
+use hibiscusbarrow_platform::standin::StoreStandin;
+use hibiscusbarrow_platform::standin::WorkerStandin;
+use std::collections::BTreeMap;
+use std::fs;
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+const KEY: &str = "k-1";
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Numbers the fleets of one run, so that each has addresses of its own.
+static NEXT: AtomicU32 = AtomicU32::new(1);
+
+struct Fleet {
+    number: u32,
+    dir: PathBuf,
+    store: StoreStandin,
+    workers: Vec<WorkerStandin>,
+    gateways: usize,
+    children: BTreeMap<String, Child>,
+}
+
+fn ip(fleet: u32, process: usize) -> String {
+    format!("127.77.{fleet}.{}", process + 1)
+}
+
+impl Fleet {
+    fn start(gateways: usize, sidecars: usize) -> Self {
+        let number = NEXT.fetch_add(1, Ordering::Relaxed);
+        let unique = format!("fleet-{}-{number}", std::process::id());
+        let dir = std::env::temp_dir().join(unique);
+        fs::create_dir_all(&dir).expect("the folder is created");
+        let doors = (gateways + sidecars) as u16;
+        let store = StoreStandin::start(&ip(number, 200), doors);
+        store.put_manifest(&standin::manifest(1, KEY));
+        let mut fleet = Self {
+            number,
+            dir,
+            store,
+            workers: Vec::new(),
+            gateways,
+            children: BTreeMap::new(),
+        };
+        for at in 0..gateways {
+            fleet.spawn(at);
+        }
+        for at in gateways..gateways + sidecars {
+            let own = ip(number, at);
+            let addr = format!("{own}:7600").parse().expect("an address");
+            let beats = format!("{own}:{}", standin::BEAT_PORT);
+            let beats = beats.parse().expect("an address");
+            let worker = WorkerStandin::start(&format!("w{at}"), addr, beats);
+            fleet.workers.push(worker);
+            fleet.spawn(at);
+        }
+        fleet.wait("a gateway is ready", |f| f.is_ready(0));
+        fleet.wait("every worker is looked at", |f| {
+            f.store.read("hibiscusbarrow/worker/").len() == sidecars
+        });
+        fleet
+    }
+
+    fn name(&self, at: usize) -> String {
+        format!("p{at}")
+    }
+
+    fn spawn(&mut self, at: usize) {
+        let name = self.name(at);
+        let sidecar = at >= self.gateways;
+        let place = Place {
+            name: name.clone(),
+            ip: ip(self.number, at),
+            store: self.store.doors[at].0,
+            worker: sidecar.then(|| self.workers[at - self.gateways].addr),
+        };
+        let path = self.dir.join(format!("{name}.toml"));
+        fs::write(&path, standin::settings(&place)).expect("the settings are written");
+        let path_of_log = self.dir.join(format!("{name}.log"));
+        let log = File::options().create(true).append(true).open(path_of_log);
+        let child = Command::new(env!("CARGO_BIN_EXE_hibiscusbarrow"))
+            .args(["fleet", if sidecar { "agent" } else { "serve" }])
+            .env("HIBISCUSBARROW_CONFIG", &path)
+            .stdout(log.expect("the log opens"))
+            .spawn()
+            .expect("the process starts");
+        self.children.insert(name, child);
+    }
+
+    fn kill(&mut self, at: usize) {
+        let child = self.children.get_mut(&self.name(at));
+        let child = child.expect("the process was started");
+        child.kill().expect("the process is there");
+        child.wait().expect("the process ends");
+    }
+
+    fn signal(&self, at: usize, signal: &str) {
+        let id = self.children[&self.name(at)].id().to_string();
+        let done = Command::new("kill").args([signal, &id]).status();
+        assert!(done.expect("kill runs").success());
+    }
+
+    fn front(&self, at: usize) -> SocketAddr {
+        let text = format!("{}:{}", ip(self.number, at), standin::FRONT_PORT);
+        text.parse().expect("an address")
+    }
+
+    fn is_ready(&self, at: usize) -> bool {
+        let text = format!("{}:{}", ip(self.number, at), standin::READY_PORT);
+        let request = http::Request::get("/ready").header("host", "x");
+        let request = request.body(Bytes::new()).expect("the request is valid");
+        let addr = text.parse().expect("an address");
+        self.send(addr, request).is_some_and(|r| r.status() == 200)
+    }
+
+    fn send(
+        &self,
+        addr: SocketAddr,
+        request: http::Request<Bytes>,
+    ) -> Option<http::Response<Bytes>> {
+        let client = HttpClient::default();
+        block_on(async {
+            client
+                .call(addr, request, Duration::from_secs(5), 1 << 20)
+                .await
+                .ok()
+        })
+    }
+
+    fn call(&self, at: usize, method: &str, path: &str, body: &str) -> (u16, String) {
+        self.call_with(at, method, path, body, KEY)
+    }
+
+    fn call_with(
+        &self,
+        at: usize,
+        method: &str,
+        path: &str,
+        body: &str,
+        key: &str,
+    ) -> (u16, String) {
+        let request = http::Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", "pairs.example")
+            .header("authorization", format!("Token {key}"))
+            .body(Bytes::from(body.to_owned()))
+            .expect("the request is valid");
+        let Some(reply) = self.send(self.front(at), request) else {
+            return (0, String::new());
+        };
+        let text = String::from_utf8_lossy(reply.body()).into_owned();
+        (reply.status().as_u16(), text)
+    }
+
+    fn state(&self, at: usize, path: &str) -> String {
+        self.call(at, "GET", path, "").1
+    }
+
+    fn wait(&self, what: &str, condition: impl Fn(&Self) -> bool) {
+        let end = Instant::now() + PATIENCE;
+        while !condition(self) {
+            assert!(
+                Instant::now() < end,
+                "in vain: {what}; logs in {:?}",
+                self.dir
+            );
+            std::thread::sleep(Duration::from_millis(20));
+        }
+    }
+
+    fn starts(&self) -> BTreeMap<String, u32> {
+        let mut all = BTreeMap::new();
+        for worker in &self.workers {
+            for (task, count) in worker.starts() {
+                *all.entry(task).or_default() += count;
+            }
+        }
+        all
+    }
+
+    /// Returns the gateway that holds the placer's lease.
+    fn placer(&self) -> usize {
+        let held = self.store.read("hibiscusbarrow/placer");
+        let holder = held.values().next().expect("someone places");
+        let name = holder.split(' ').next().expect("it has a name");
+        name[1..].parse().expect("it ends in its number")
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for child in self.children.values_mut() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        if !std::thread::panicking() {
+            let _ = fs::remove_dir_all(&self.dir);
+        }
+    }
+}
+
+const JOB: &str = "/pairs/00000000000000a1";
+
+#[test]
+fn job_of_two_steps_runs_to_its_end_and_is_one_job() {
+    let fleet = Fleet::start(2, 2);
+    let body = standin::job(&[(3, 1), (2, 2)], 150);
+
+    let first = fleet.call(0, "POST", JOB, &body);
+    let again = fleet.call(1, "POST", JOB, &body);
+
+    assert_eq!((first.0, again.0), (200, 200));
+    fleet.wait("the job is shown as completed by both", |f| {
+        (0..2).all(|g| f.state(g, JOB).contains("completed"))
+    });
+    assert_eq!(fleet.starts().len(), 5);
+    assert!(fleet.starts().values().all(|n| *n == 1));
+}
+
+#[test]
+fn bad_requests_are_refused_and_nothing_is_stored() {
+    let fleet = Fleet::start(1, 1);
+    let body = standin::job(&[(1, 1)], 100);
+
+    let unknown_key = fleet.call_with(0, "POST", JOB, &body, "wrong");
+    let unknown_queue = fleet.call(0, "POST", "/other/00000000000000a1", &body);
+    let malformed = fleet.call(0, "POST", JOB, r#"{"spec":"x","steps":[{"count":0}]}"#);
+    let unknown_job = fleet.call(0, "GET", JOB, "");
+
+    assert_eq!(unknown_key.0, 401);
+    assert_eq!(unknown_queue.0, 404);
+    assert_eq!(malformed.0, 400);
+    assert!(malformed.1.contains("steps[0].count"), "{}", malformed.1);
+    assert_eq!(unknown_job.0, 410);
+    assert!(fleet.store.read("hibiscusbarrow/job/").is_empty());
+}
+
+#[test]
+fn placer_killed_while_tasks_run_starts_none_twice() {
+    let mut fleet = Fleet::start(3, 2);
+    let body = standin::job(&[(4, 1), (2, 1)], 3_000);
+    assert_eq!(fleet.call(0, "POST", JOB, &body).0, 200);
+    fleet.wait("the first step runs", |f| f.starts().len() == 4);
+
+    let placer = fleet.placer();
+    fleet.kill(placer);
+
+    let other = (placer + 1) % 3;
+    fleet.wait("the job completes", |f| {
+        f.state(other, JOB).contains("completed")
+    });
+    assert!(
+        fleet.starts().values().all(|n| *n == 1),
+        "{:?}",
+        fleet.starts()
+    );
+}
+
+#[test]
+fn sidecar_killed_while_tasks_run_starts_none_twice() {
+    let mut fleet = Fleet::start(1, 1);
+    let body = standin::job(&[(2, 1)], 2_000);
+    assert_eq!(fleet.call(0, "POST", JOB, &body).0, 200);
+    fleet.wait("the tasks run", |f| f.starts().len() == 2);
+
+    fleet.kill(1);
+    fleet.spawn(1);
+
+    fleet.wait("the job completes", |f| {
+        f.state(0, JOB).contains("completed")
+    });
+    assert!(
+        fleet.starts().values().all(|n| *n == 1),
+        "{:?}",
+        fleet.starts()
+    );
+}
+
+#[test]
+fn store_down_refuses_new_jobs_at_once_and_keeps_what_runs() {
+    let fleet = Fleet::start(2, 1);
+    let body = standin::job(&[(2, 1)], 2_500);
+    assert_eq!(fleet.call(0, "POST", JOB, &body).0, 200);
+    fleet.wait("the tasks run", |f| f.starts().len() == 2);
+
+    fleet.store.shut(true);
+    fleet.wait("new jobs are refused", |f| {
+        f.call(0, "POST", "/pairs/00000000000000a2", &body).0 == 503
+    });
+    std::thread::sleep(Duration::from_secs(3));
+    fleet.store.shut(false);
+
+    fleet.wait("the job completes", |f| {
+        f.state(0, JOB).contains("completed")
+    });
+    assert!(
+        fleet.starts().values().all(|n| *n == 1),
+        "{:?}",
+        fleet.starts()
+    );
+    fleet.wait("a refused job may come again", |f| {
+        f.call(0, "POST", "/pairs/00000000000000a2", &body).0 == 200
+    });
+}
+
+#[test]
+fn gateway_cut_from_the_store_serves_through_another() {
+    let fleet = Fleet::start(2, 1);
+    fleet.wait("both are ready", |f| f.is_ready(0) && f.is_ready(1));
+    let body = standin::job(&[(1, 1)], 100);
+
+    fleet.store.doors[0].1.store(true, Ordering::Relaxed);
+
+    fleet.wait("the job is accepted", |f| {
+        f.call(0, "POST", JOB, &body).0 == 200
+    });
+    fleet.wait("the job completes", |f| {
+        f.state(0, JOB).contains("completed")
+    });
+}
+
+#[test]
+fn cancelled_job_stops() {
+    let fleet = Fleet::start(2, 1);
+    let body = standin::job(&[(2, 1)], 60_000);
+    assert_eq!(fleet.call(0, "POST", JOB, &body).0, 200);
+    fleet.wait("the tasks run", |f| f.workers[0].running().len() == 2);
+
+    let cancelled = fleet.call(1, "DELETE", JOB, "");
+
+    assert_eq!(cancelled.0, 200);
+    fleet.wait("nothing runs", |f| f.workers[0].running().is_empty());
+    assert!(fleet.state(0, JOB).contains("canceled"));
+}
+
+#[test]
+fn draining_worker_gets_nothing_new() {
+    let fleet = Fleet::start(1, 2);
+    let body = standin::job(&[(4, 1)], 200);
+    fleet.workers[0].drain();
+    std::thread::sleep(Duration::from_secs(1));
+
+    assert_eq!(fleet.call(0, "POST", JOB, &body).0, 200);
+
+    fleet.wait("the job completes", |f| {
+        f.state(0, JOB).contains("completed")
+    });
+    assert!(fleet.workers[0].starts().is_empty());
+}
+
+#[test]
+fn planned_stop_of_the_placer_hands_over_and_cuts_nothing() {
+    let mut fleet = Fleet::start(2, 1);
+    fleet.wait("both are ready", |f| f.is_ready(0) && f.is_ready(1));
+    let body = standin::job(&[(2, 1)], 2_000);
+    assert_eq!(fleet.call(0, "POST", JOB, &body).0, 200);
+    fleet.wait("the tasks run", |f| f.starts().len() == 2);
+    let placer = fleet.placer();
+
+    fleet.signal(placer, "-TERM");
+
+    let child = fleet.children.get_mut(&format!("p{placer}"));
+    let status = child.expect("it was started").wait().expect("it ends");
+    assert!(status.success());
+    let other = 1 - placer;
+    fleet.wait("the job completes", |f| {
+        f.state(other, JOB).contains("completed")
+    });
+    assert!(
+        fleet.starts().values().all(|n| *n == 1),
+        "{:?}",
+        fleet.starts()
+    );
+}
+
+#[test]
+fn settings_of_a_wrong_type_name_file_line_and_field() {
+    let dir = std::env::temp_dir().join(format!("fleet-settings-{}", std::process::id()));
+    fs::create_dir_all(&dir).expect("the folder is created");
+    let path = dir.join("boot.toml");
+    let place = Place {
+        name: "p".into(),
+        ip: "127.77.250.1".into(),
+        store: "127.77.250.2:1".parse().expect("an address"),
+        worker: None,
+    };
+    let text = standin::settings(&place).replace("max-fds = 4096", "max-fds = \"many\"");
+    fs::write(&path, text).expect("the settings are written");
+
+    let output = Command::new(env!("CARGO_BIN_EXE_hibiscusbarrow"))
+        .args(["fleet", "serve"])
+        .env("HIBISCUSBARROW_CONFIG", &path)
+        .output()
+        .expect("the process runs");
+
+    let errors = String::from_utf8_lossy(&output.stderr);
+    assert_eq!(output.status.code(), Some(3), "{errors}");
+    assert!(
+        errors.contains("boot.toml:9:11: max-fds: HB103"),
+        "{errors}"
+    );
+    fs::remove_dir_all(&dir).expect("the folder is removed");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod commands;
 mod configuration;
 mod failures;
+mod fleet;
 mod jobs;
 mod keys;
 mod load;
