Tell the placer of jobs, and all gateways of ended ones, ahead of their watches

Change: the accepting gateway sends the record to the placer; the placer sends final records to all gateways. A newer revision that is known wins. Test: placer_learns_of_jobs_while_its_watch_hears_nothing fails without it.

--- a/crates/fleet/src/ledger/writes.rs
+++ b/crates/fleet/src/ledger/writes.rs
@@ -27,6 +27,8 @@
     pub revision: u64,
     /// The encoded record; none deletes it.
     pub value: Option<Vec<u8>>,
+    /// Whether the job reached its final state.
+    pub ended: bool,
     change: u64,
 }
 
@@ -44,6 +46,7 @@
                 job: id.clone(),
                 revision: entry.revision,
                 value: Some(entry.record.encode()),
+                ended: entry.record.ended > 0,
                 change: entry.changed,
             });
             if batch.writes.len() == BATCH {
@@ -68,6 +71,7 @@
                 job: id.clone(),
                 revision: entry.revision,
                 value: None,
+                ended: true,
                 change: entry.changed,
             });
             if batch.writes.len() == BATCH {
--- a/crates/roles/src/fleet/front.rs
+++ b/crates/roles/src/fleet/front.rs
@@ -3,6 +3,7 @@
 use super::Shared;
 use super::keys;
 use super::mirror::Mirror;
+use super::news::Courier;
 use super::port::Callers;
 use super::port::Item;
 use super::port::Outcome;
@@ -50,6 +51,8 @@
     pub mirror: Rc<Mirror>,
     /// Translates requests.
     pub callers: Callers,
+    /// Tells the placer of jobs at once.
+    pub courier: Rc<Courier>,
 }
 
 /// Holds a request that was checked against the manifest.
@@ -225,7 +228,7 @@
 
     fn accepted(&self, admitted: &Admitted, record: &Rc<Record>, revision: u64) {
         let id = &admitted.rest;
-        self.mirror.put_job(id, record.clone(), revision);
+        self.keep(id, record.clone(), revision);
         let detail = format!(
             "queue={} priority={} steps={} revision={revision} manifest={}",
             admitted.queue.name,
@@ -239,6 +242,16 @@
             .note_for(Event::JobAccepted, id.clone(), account, detail);
     }
 
+    /// Takes in a record that was just written, and tells the placer of it.
+    fn keep(&self, id: &SmolStr, record: Rc<Record>, revision: u64) {
+        self.courier.tell_placer(Item {
+            key: keys::job(id),
+            value: Some(Bytes::from(record.encode())),
+            revision,
+        });
+        self.mirror.put_job(id, record, revision);
+    }
+
     /// Answers a job that is stored already.
     fn repeated(&self, admitted: &Admitted, record: &Record, items: &[Item]) -> (Code, Reply) {
         let held = items
@@ -287,7 +300,7 @@
             match self.commit(txn, admitted.until).await {
                 Ok(Outcome::Committed(revision)) => {
                     let record = Rc::new(record.clone());
-                    self.mirror.put_job(id, record, revision);
+                    self.keep(id, record, revision);
                     let detail = format!("revision={revision} manifest={}", admitted.version);
                     let account = admitted.account.clone();
                     let log = &self.shared.log;
--- a/crates/roles/src/fleet/gateway.rs
+++ b/crates/roles/src/fleet/gateway.rs
@@ -6,6 +6,8 @@
 use super::lead;
 use super::mirror;
 use super::mirror::Mirror;
+use super::news;
+use super::news::Courier;
 use super::port::Advisor;
 use super::port::Callers;
 use super::port::Store;
@@ -75,9 +77,21 @@
         rpc.clone(),
     ));
     spawn(enter(shared.clone()));
-    spawn(serve_peers(peers, own, mirror.clone()));
+    spawn(serve_peers(peers, own, shared.clone(), mirror.clone()));
     spawn(serve_ready(ready, shared.clone(), mirror.clone()));
-    let leading = compio::runtime::spawn(lead::run(shared.clone(), mirror.clone(), rpc, advisor));
+    let courier = Rc::new(Courier {
+        name: settings.name.clone(),
+        mirror: mirror.clone(),
+        rpc: rpc.clone(),
+    });
+    let leading = lead::run(
+        shared.clone(),
+        mirror.clone(),
+        rpc,
+        advisor,
+        courier.clone(),
+    );
+    let leading = compio::runtime::spawn(leading);
 
     let limits = Limits {
         connections: settings.connections,
@@ -88,6 +102,7 @@
         shared: shared.clone(),
         mirror,
         callers,
+        courier,
     });
     let handle = move |request| handler.clone().handle(request);
     serve(front, limits, shared.stop.clone(), handle).await;
@@ -133,14 +148,18 @@
     Shared { store, ..shared }
 }
 
-async fn serve_peers(listener: TcpListener, store: Store, mirror: Rc<Mirror>) {
+async fn serve_peers(listener: TcpListener, store: Store, shared: Rc<Shared>, mirror: Rc<Mirror>) {
+    let listening = mirror.clone();
     let handlers = Handlers {
         forward: Rc::new(move |request| {
-            let store = store.clone();
+            let (store, shared, mirror) = (store.clone(), shared.clone(), listening.clone());
             Box::pin(async move {
                 if request.service == relay::STORE {
                     return relay::serve(store, request).await;
                 }
+                if request.service == news::NEWS {
+                    return news::take(&mirror, &shared, &request);
+                }
                 rpc::ForwardReply::failure(Code::UnknownService, "")
             })
         }),
--- a/crates/roles/src/fleet/lead.rs
+++ b/crates/roles/src/fleet/lead.rs
@@ -3,6 +3,7 @@
 use super::Shared;
 use super::keys;
 use super::mirror::Mirror;
+use super::news::Courier;
 use super::placer;
 use super::port::Advisor;
 use super::port::Item;
@@ -48,7 +49,13 @@
 }
 
 /// Takes the lease whenever it is free and places jobs while it is held.
-pub async fn run(shared: Rc<Shared>, mirror: Rc<Mirror>, rpc: Rc<RpcClient>, advisor: Advisor) {
+pub async fn run(
+    shared: Rc<Shared>,
+    mirror: Rc<Mirror>,
+    rpc: Rc<RpcClient>,
+    advisor: Advisor,
+    courier: Rc<Courier>,
+) {
     release_former(&shared, &mirror).await;
     while !shared.stop.is_raised() {
         let free = mirror.placer.borrow().is_none();
@@ -60,7 +67,7 @@
             Some(tenure) => {
                 let tenure = Rc::new(tenure);
                 compio::runtime::spawn(renew(shared.clone(), tenure.clone())).detach();
-                placer::run(&shared, &mirror, &rpc, &advisor, &tenure).await;
+                placer::run(&shared, &mirror, &rpc, &advisor, &courier, &tenure).await;
                 tenure.lost.raise();
                 if shared.stop.is_raised() {
                     let _ = (shared.store.revoke)(tenure.id).await;
--- a/crates/roles/src/fleet/mirror.rs
+++ b/crates/roles/src/fleet/mirror.rs
@@ -179,7 +179,8 @@
         self.tell(&Change::Manifest);
     }
 
-    fn apply(&self, shared: &Shared, item: Item) {
+    /// Takes in an item unless a newer one of its key is known.
+    pub fn apply(&self, shared: &Shared, item: Item) {
         let known = self.revisions.borrow().get(&item.key).copied().unwrap_or(0);
         if item.revision <= known {
             return;
--- a/crates/roles/src/fleet/mod.rs
+++ b/crates/roles/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod keys;
 mod lead;
 mod mirror;
+mod news;
 mod placer;
 pub mod port;
 pub mod relay;
--- /dev/null
+++ b/crates/roles/src/fleet/news.rs
@@ -0,0 +1,87 @@
+//! Telling other gateways of fresh writes ahead of their watches.
+//!
+//! The store's watch stays the source of truth; news only saves its delay, and
+//! is ignored where a newer revision is known.
+
+use super::mirror::Mirror;
+use super::port::Item;
+use bytes::Bytes;
+use hibiscusbarrow_adapters::rpc::ForwardReply;
+use hibiscusbarrow_adapters::rpc::ForwardRequest;
+use hibiscusbarrow_adapters::rpc::RpcClient;
+use hibiscusbarrow_model::code::Code;
+use smol_str::SmolStr;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The name under which gateways take news.
+pub const NEWS: &str = "news";
+
+/// The longest wait for a gateway to take news.
+const LIMIT: Duration = Duration::from_millis(300);
+
+/// Sends news to other gateways.
+pub struct Courier {
+    /// The name of this gateway.
+    pub name: SmolStr,
+    /// The copy of the store, which names the gateways and the placer.
+    pub mirror: Rc<Mirror>,
+    /// Reaches the gateways.
+    pub rpc: Rc<RpcClient>,
+}
+
+impl Courier {
+    /// Tells the placer of a write.
+    pub fn tell_placer(&self, item: Item) {
+        let holder = self.mirror.placer.borrow().clone();
+        let addr = holder
+            .filter(|(name, _)| *name != self.name)
+            .and_then(|(name, _)| self.mirror.gateways.borrow().get(&name).copied());
+        if let Some(addr) = addr {
+            self.send(addr, &[item]);
+        }
+    }
+
+    /// Tells all other gateways of writes.
+    pub fn tell_all(&self, items: &[Item]) {
+        let addrs: Vec<SocketAddr> = {
+            let gateways = self.mirror.gateways.borrow();
+            let others = gateways.iter().filter(|(n, _)| **n != self.name);
+            others.map(|(_, addr)| *addr).collect()
+        };
+        for addr in addrs {
+            self.send(addr, items);
+        }
+    }
+
+    fn send(&self, addr: SocketAddr, items: &[Item]) {
+        let body = postcard::to_allocvec(items).expect("items serialise");
+        let request = ForwardRequest {
+            service: NEWS.into(),
+            body: Bytes::from(body),
+            ..ForwardRequest::default()
+        };
+        let rpc = self.rpc.clone();
+        compio::runtime::spawn(async move {
+            // The watch brings what gets lost here.
+            if rpc.forward(addr, &request, LIMIT).await.is_err() {
+                rpc.forget(addr);
+            }
+        })
+        .detach();
+    }
+}
+
+/// Takes news in.
+pub fn take(mirror: &Mirror, shared: &super::Shared, request: &ForwardRequest) -> ForwardReply {
+    match postcard::from_bytes::<Vec<Item>>(&request.body) {
+        Ok(items) => {
+            for item in items {
+                mirror.apply(shared, item);
+            }
+            ForwardReply::failure(Code::Done, "")
+        }
+        Err(e) => ForwardReply::failure(Code::BadRequest, e.to_string()),
+    }
+}
--- a/crates/roles/src/fleet/placer.rs
+++ b/crates/roles/src/fleet/placer.rs
@@ -5,6 +5,7 @@
 use super::lead::Tenure;
 use super::mirror::Change;
 use super::mirror::Mirror;
+use super::news::Courier;
 use super::port::Advisor;
 use super::port::Item;
 use super::port::Outcome;
@@ -78,6 +79,7 @@
     mirror: Rc<Mirror>,
     rpc: Rc<RpcClient>,
     advisor: Advisor,
+    courier: Rc<Courier>,
     tenure: Rc<Tenure>,
     ledger: Ledger,
     sender: mpsc::UnboundedSender<Input>,
@@ -97,6 +99,7 @@
     mirror: &Rc<Mirror>,
     rpc: &Rc<RpcClient>,
     advisor: &Advisor,
+    courier: &Rc<Courier>,
     tenure: &Rc<Tenure>,
 ) {
     let mut changes = mirror.subscribe();
@@ -113,6 +116,7 @@
         mirror: mirror.clone(),
         rpc: rpc.clone(),
         advisor: advisor.clone(),
+        courier: courier.clone(),
         tenure: tenure.clone(),
         ledger: Ledger::new(shared.settings.bounds, tenure.epoch, now),
         sender,
@@ -398,7 +402,10 @@
     fn stored(&mut self, batch: &Batch, stored: Stored, now: Duration) {
         self.writing = false;
         match stored {
-            Stored::At(revision) => self.ledger.committed(batch, revision, now),
+            Stored::At(revision) => {
+                self.ledger.committed(batch, revision, now);
+                self.tell_ended(batch, revision);
+            }
             Stored::Deposed => self.tenure.lost.raise(),
             Stored::Conflict(items) => {
                 self.ledger.abandoned(batch);
@@ -415,6 +422,27 @@
         }
     }
 
+    /// Has every gateway show ended jobs at once.
+    fn tell_ended(&self, batch: &Batch, revision: u64) {
+        let ended = batch.writes.iter().filter(|w| w.ended);
+        let items: Vec<Item> = ended
+            .filter_map(|w| {
+                Some(Item {
+                    key: keys::job(&w.job),
+                    value: Some(Bytes::from(w.value.clone()?)),
+                    revision,
+                })
+            })
+            .collect();
+        if items.is_empty() {
+            return;
+        }
+        self.courier.tell_all(&items);
+        for item in items {
+            self.mirror.apply(&self.shared, item);
+        }
+    }
+
     fn conflicted(&mut self, item: &Item, now: Duration) {
         let keys::Kind::Job(id) = keys::kind(&item.key) else {
             return;
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -415,3 +415,23 @@
     );
     fs::remove_dir_all(&dir).expect("the folder is removed");
 }
+
+#[test]
+fn placer_learns_of_jobs_while_its_watch_hears_nothing() {
+    let fleet = Fleet::start(2, 1);
+    fleet.wait("both are ready", |f| f.is_ready(0) && f.is_ready(1));
+    fleet.wait("someone places", |f| {
+        !f.store.read("hibiscusbarrow/placer").is_empty()
+    });
+    let body = standin::job(&[(1, 1)], 200);
+    let other = 1 - fleet.placer();
+
+    fleet.store.quieten(true);
+
+    fleet.wait("the job is accepted", |f| {
+        f.call(other, "POST", JOB, &body).0 == 200
+    });
+    fleet.wait("the job is shown as completed", |f| {
+        f.state(other, JOB).contains("completed")
+    });
+}
