--- a/crates/roles/src/fleet/lead.rs
+++ b/crates/roles/src/fleet/lead.rs
@@ -22,9 +22,9 @@
 use std::time::Duration;
 
 /// The life of the lease.
-const LEASE: Duration = Duration::from_secs(2);
+const LEASE: Duration = Duration::from_millis(1_000);
 /// The pause between two renewals.
-const RENEW: Duration = Duration::from_millis(600);
+const RENEW: Duration = Duration::from_millis(300);
 /// The pause between two looks at whether the lease is free.
 const LOOK: Duration = Duration::from_millis(50);
 /// The pause after a failed attempt.
