Let a gateway that did not answer rest before it is asked again

Cause: in both recorded incidents a replaced gateway still stood among the peers, and each relayed call waited 0.5 s for it (504 after 0.9 s, lease not renewed). Change: a gateway that did not answer is not asked for 2 s.

--- a/crates/roles/src/fleet/gateway.rs
+++ b/crates/roles/src/fleet/gateway.rs
@@ -143,8 +143,8 @@
         let others = gateways.iter().filter(|(n, _)| **n != name);
         others.map(|(_, addr)| *addr).collect()
     };
-    let log = shared.log.clone();
-    let store = relay::relayed(shared.store.clone(), rpc.clone(), log, Rc::new(peers));
+    let (log, clock) = (shared.log.clone(), shared.clock.clone());
+    let store = relay::relayed(shared.store.clone(), rpc.clone(), log, clock, Rc::new(peers));
     Shared { store, ..shared }
 }
 
--- a/crates/roles/src/fleet/relay.rs
+++ b/crates/roles/src/fleet/relay.rs
@@ -20,12 +20,15 @@
 use hibiscusbarrow_adapters::rpc::ForwardReply;
 use hibiscusbarrow_adapters::rpc::ForwardRequest;
 use hibiscusbarrow_adapters::rpc::RpcClient;
+use hibiscusbarrow_coordination::clock::Clock;
 use hibiscusbarrow_model::code::Code;
 use hibiscusbarrow_model::event::Event;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
 use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::rc::Rc;
@@ -41,6 +44,8 @@
 const RELAY_LIMIT: Duration = Duration::from_millis(800);
 /// The longest wait for changes at another gateway, in milliseconds.
 const RELAYED_WAIT: u64 = 300;
+/// The time for which a gateway that did not answer is not asked.
+const PEER_REST: Duration = Duration::from_secs(2);
 /// The pause between two probes of a path that failed.
 const PROBE: Duration = Duration::from_millis(500);
 
@@ -90,6 +95,9 @@
     probing: Cell<bool>,
     /// The gateway that last made a call.
     good: Cell<Option<SocketAddr>>,
+    /// When a gateway last failed to answer.
+    failed: RefCell<HashMap<SocketAddr, Duration>>,
+    clock: Clock,
 }
 
 /// Returns a store whose calls go through other gateways when they must.
@@ -97,6 +105,7 @@
     store: Store,
     rpc: Rc<RpcClient>,
     log: EventLog,
+    clock: Clock,
     peers: Rc<dyn Fn() -> Vec<SocketAddr>>,
 ) -> Store {
     let direct = store.clone();
@@ -108,6 +117,8 @@
         up: Cell::new(true),
         probing: Cell::new(false),
         good: Cell::new(None),
+        failed: RefCell::new(HashMap::new()),
+        clock,
     });
     let r = || relay.clone();
     let (get, list, watch, commit) = (r(), r(), r(), r());
@@ -252,9 +263,7 @@
 
     /// Has another gateway make a call.
     async fn through_peer(&self, call: &Call) -> Result<Done, StoreError> {
-        let mut peers = (self.peers)();
-        let good = self.good.get();
-        peers.sort_by_key(|p| Some(*p) != good);
+        let peers = self.choose_peers();
         let call = match call {
             Call::Watch(after, wait) => Call::Watch(*after, (*wait).min(RELAYED_WAIT)),
             other => other.clone(),
@@ -282,6 +291,7 @@
                 Ok(reply) => worse(failure, StoreError::Refused(reply.detail.into())),
                 Err(e) => {
                     self.rpc.forget(peer);
+                    self.failed.borrow_mut().insert(peer, self.clock.now());
                     StoreError::Unknown(e.to_string())
                 }
             };
@@ -289,6 +299,17 @@
         Err(failure)
     }
 
+    /// Returns the gateways to ask, the best first, without those that just failed.
+    fn choose_peers(&self) -> Vec<SocketAddr> {
+        let (now, good) = (self.clock.now(), self.good.get());
+        let failed = self.failed.borrow();
+        let rests = |p: &SocketAddr| failed.get(p).is_some_and(|at| now < *at + PEER_REST);
+        let mut peers = (self.peers)();
+        peers.retain(|p| !rests(p));
+        peers.sort_by_key(|p| Some(*p) != good);
+        peers
+    }
+
     /// Uses other gateways until the own path answers again.
     fn fail_over(self: &Rc<Self>, why: &str) {
         self.up.set(false);
