--- a/crates/adapters/src/log/mod.rs
+++ b/crates/adapters/src/log/mod.rs
@@ -10,23 +10,44 @@
 use slog::o;
 use smol_str::SmolStr;
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::VecDeque;
 use std::rc::Rc;
+use std::time::Duration;
 
 /// The events that a process keeps for the time line.
 const KEPT: usize = 4096;
 
+/// The lines of one event that a process writes in a second.
+const MAX_LINES: u32 = 50;
+/// The lines that wait for the writing thread; further ones are dropped and counted.
+const QUEUE: usize = 1024;
+/// The time after which the budget of an event is full again.
+const WINDOW: Duration = Duration::from_secs(1);
+
 /// Creates the logger of a process.
 pub fn logger(format: LogFormat) -> Logger {
     match format {
         LogFormat::Json => {
             let drain = slog_json::Json::default(std::io::stdout()).fuse();
-            Logger::root(slog_async::Async::new(drain).build().fuse(), o!())
+            Logger::root(
+                slog_async::Async::new(drain)
+                    .chan_size(QUEUE)
+                    .build()
+                    .fuse(),
+                o!(),
+            )
         }
         LogFormat::Terminal => {
             let decorator = slog_term::TermDecorator::new().stderr().build();
             let drain = slog_term::CompactFormat::new(decorator).build().fuse();
-            Logger::root(slog_async::Async::new(drain).build().fuse(), o!())
+            Logger::root(
+                slog_async::Async::new(drain)
+                    .chan_size(QUEUE)
+                    .build()
+                    .fuse(),
+                o!(),
+            )
         }
     }
 }
@@ -42,6 +63,15 @@
     logger: Logger,
     next: u64,
     kept: VecDeque<Record>,
+    budgets: BTreeMap<Event, Budget>,
+}
+
+/// Counts the lines of one event within a second.
+#[derive(Clone, Copy, Debug, Default)]
+struct Budget {
+    since: Duration,
+    lines: u32,
+    dropped: u64,
 }
 
 /// Logs numbered events and keeps the newest of them.
@@ -59,6 +89,7 @@
             logger,
             next: 0,
             kept: VecDeque::with_capacity(KEPT),
+            budgets: BTreeMap::new(),
         };
         Self {
             inner: Rc::new(RefCell::new(inner)),
@@ -71,6 +102,9 @@
     }
 
     /// Logs an event about a subject of a client account.
+    ///
+    /// Lines beyond the budget of the event are dropped; their number is logged
+    /// with the next line of the event that is written.
     pub fn note_for(
         &self,
         event: Event,
@@ -79,31 +113,53 @@
         detail: impl Into<SmolStr>,
     ) {
         let mut inner = self.inner.borrow_mut();
+        let now = inner.clock.now();
+        let budget = inner.budgets.entry(event).or_default();
+        if now >= budget.since + WINDOW {
+            let dropped = std::mem::take(&mut budget.dropped);
+            (budget.since, budget.lines) = (now, 0);
+            if dropped > 0 {
+                let detail = format!("event={event} lines={dropped}");
+                inner.write(Event::LinesDropped, "log".into(), "".into(), detail.into());
+            }
+        }
+        let budget = inner.budgets.entry(event).or_default();
+        budget.lines += 1;
+        if budget.lines > MAX_LINES {
+            budget.dropped += 1;
+            return;
+        }
+        inner.write(event, subject.into(), account.into(), detail.into());
+    }
+
+    /// Returns the kept events, oldest first.
+    pub fn records(&self) -> Vec<Record> {
+        self.inner.borrow().kept.iter().cloned().collect()
+    }
+}
+
+impl Inner {
+    fn write(&mut self, event: Event, subject: SmolStr, account: SmolStr, detail: SmolStr) {
         let record = Record {
-            at: inner.clock.wall_ms(),
-            seq: inner.next,
-            process: inner.process.clone(),
+            at: self.clock.wall_ms(),
+            seq: self.next,
+            process: self.process.clone(),
             event,
-            subject: subject.into(),
-            account: account.into(),
-            detail: detail.into(),
+            subject,
+            account,
+            detail,
         };
-        inner.next += 1;
-        info!(inner.logger, "{}", event.meaning();
+        self.next += 1;
+        info!(self.logger, "{}", event.meaning();
             "event" => event.number(),
             "at" => record.at,
             "process" => record.process.as_str(),
             "subject" => record.subject.as_str(),
             "account" => record.account.as_str(),
             "detail" => record.detail.as_str());
-        if inner.kept.len() == KEPT {
-            inner.kept.pop_front();
+        if self.kept.len() == KEPT {
+            self.kept.pop_front();
         }
-        inner.kept.push_back(record);
-    }
-
-    /// Returns the kept events, oldest first.
-    pub fn records(&self) -> Vec<Record> {
-        self.inner.borrow().kept.iter().cloned().collect()
+        self.kept.push_back(record);
     }
 }
--- a/crates/adapters/src/metrics/mod.rs
+++ b/crates/adapters/src/metrics/mod.rs
@@ -1,5 +1,6 @@
 //! Metrics by `opentelemetry`, scraped in the Prometheus text form.
 
+use hibiscusbarrow_model::event::Event;
 use opentelemetry::KeyValue;
 use opentelemetry::metrics::Counter;
 use opentelemetry::metrics::Gauge;
@@ -11,6 +12,11 @@
 use prometheus::TextEncoder;
 use std::time::Duration;
 
+/// The boundaries of steps, in seconds: from a call on one machine to a lapsed lease.
+const STEP_BOUNDARIES: [f64; 12] = [
+    0.001, 0.003, 0.01, 0.03, 0.1, 0.3, 1.0, 2.0, 3.0, 5.0, 10.0, 30.0,
+];
+
 /// Holds the instruments of a process.
 pub struct Metrics {
     registry: Registry,
@@ -20,6 +26,8 @@
     store_calls: Counter<u64>,
     control_bytes: Counter<u64>,
     gauges: Gauge<u64>,
+    decisions: Counter<u64>,
+    steps: Histogram<f64>,
 }
 
 impl Metrics {
@@ -43,6 +51,11 @@
             store_calls: meter.u64_counter("store_calls").build(),
             control_bytes: meter.u64_counter("control_bytes").build(),
             gauges: meter.u64_gauge("level").build(),
+            decisions: meter.u64_counter("decisions").build(),
+            steps: meter
+                .f64_histogram("step_seconds")
+                .with_boundaries(STEP_BOUNDARIES.to_vec())
+                .build(),
             _provider: provider,
         })
     }
@@ -65,6 +78,18 @@
             .add(bytes as u64, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a decision, a refusal or a loss by its event.
+    pub fn decision(&self, event: Event) {
+        let event = [KeyValue::new("event", i64::from(event.number()))];
+        self.decisions.add(1, &event);
+    }
+
+    /// Records how long a step on the way of a job took.
+    pub fn step(&self, kind: &'static str, elapsed: Duration) {
+        let kind = [KeyValue::new("kind", kind)];
+        self.steps.record(elapsed.as_secs_f64(), &kind);
+    }
+
     /// Sets a level such as the members known or the generation in force.
     pub fn level(&self, name: &'static str, value: u64) {
         self.gauges.record(value, &[KeyValue::new("name", name)]);
--- /dev/null
+++ b/crates/adapters/tests/log.rs
@@ -0,0 +1,26 @@
+//! The volume of logs.
+
+use hibiscusbarrow_adapters::log;
+use hibiscusbarrow_adapters::log::EventLog;
+use hibiscusbarrow_coordination::clock::Clock;
+use hibiscusbarrow_model::event::Event;
+use std::time::Duration;
+
+#[test]
+fn a_flood_of_one_event_is_cut_and_counted() {
+    let (clock, time) = Clock::manual();
+    let log = EventLog::new("p", clock, log::silent());
+    time.set(Duration::from_secs(5));
+    for _ in 0..1_000 {
+        log.note(Event::JobRefused, "j", "flood");
+    }
+    log.note(Event::JobAccepted, "k", "another event");
+
+    time.set(Duration::from_secs(7));
+    log.note(Event::JobRefused, "j", "later");
+
+    let records = log.records();
+    assert_eq!(records.len(), 53);
+    assert_eq!(records[51].event, Event::LinesDropped);
+    assert_eq!(records[51].detail, "event=E1609 lines=950");
+}
--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -26,6 +26,7 @@
 use crate::manifest::Manifest;
 use crate::record::Place;
 use crate::record::Record;
+use crate::record::State;
 use crate::worker::Announcement;
 use crate::worker::Boot;
 use crate::worker::Order;
@@ -220,6 +221,27 @@
     pub detail: String,
 }
 
+/// Holds the levels of a ledger.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Summary {
+    /// Jobs of which no task has started.
+    pub waiting: u64,
+    /// Jobs that are not over.
+    pub open: u64,
+    /// Starts whose end is not known.
+    pub runs: u64,
+    /// Starts of which it is not known whether they arrived.
+    pub doubtful: u64,
+    /// Workers.
+    pub workers: u64,
+    /// Workers that may get work.
+    pub usable: u64,
+    /// Accelerators of workers that may get work.
+    pub gpus_usable: u64,
+    /// Accelerators that no run takes.
+    pub gpus_free: u64,
+}
+
 /// Holds all jobs and workers of a placer.
 pub struct Ledger {
     bounds: Bounds,
@@ -343,6 +365,29 @@
         self.touch(id);
     }
 
+    /// Counts jobs, runs and room.
+    pub fn summary(&self, now: Duration) -> Summary {
+        let mut summary = Summary {
+            workers: self.workers.len() as u64,
+            ..Summary::default()
+        };
+        for entry in self.jobs.values() {
+            if !entry.record.is_over() {
+                summary.open += 1;
+                summary.waiting += u64::from(entry.record.state() == State::Queued);
+            }
+            summary.runs += entry.runs.len() as u64;
+            let doubtful = entry.runs.values().filter(|r| r.phase == Phase::Doubt);
+            summary.doubtful += doubtful.count() as u64;
+        }
+        for slot in self.slots(now) {
+            summary.usable += 1;
+            summary.gpus_usable += slot.total.gpus;
+            summary.gpus_free += slot.free.gpus;
+        }
+        summary
+    }
+
     fn note(&mut self, decision: Decision, subject: &str, account: &str, detail: String) {
         self.effects.push(Effect::Note(Note {
             decision,
--- a/crates/roles/src/fleet/gateway.rs
+++ b/crates/roles/src/fleet/gateway.rs
@@ -144,7 +144,13 @@
         others.map(|(_, addr)| *addr).collect()
     };
     let (log, clock) = (shared.log.clone(), shared.clock.clone());
-    let store = relay::relayed(shared.store.clone(), rpc.clone(), log, clock, Rc::new(peers));
+    let store = relay::relayed(
+        shared.store.clone(),
+        rpc.clone(),
+        log,
+        clock,
+        Rc::new(peers),
+    );
     Shared { store, ..shared }
 }
 
--- a/crates/roles/src/fleet/placer.rs
+++ b/crates/roles/src/fleet/placer.rs
@@ -44,6 +44,8 @@
 /// The name under which orders reach a sidecar.
 pub const ORDERS: &str = "orders";
 
+/// The time between two publications of levels.
+const LEVELS: Duration = Duration::from_secs(1);
 /// The longest time between two plans.
 const TICK: Duration = Duration::from_millis(100);
 /// Time for an order to be answered beyond the wait that it asks for.
@@ -91,6 +93,8 @@
     /// Workers whose ends are being stored.
     waiting: BTreeSet<SmolStr>,
     silent: BTreeSet<SmolStr>,
+    /// When levels were last published.
+    measured: Duration,
 }
 
 /// Places jobs until the lease is lost or the process stops.
@@ -125,6 +129,7 @@
         looking: BTreeSet::new(),
         waiting: BTreeSet::new(),
         silent: BTreeSet::new(),
+        measured: now,
     };
     placer.load();
     loop {
@@ -218,6 +223,7 @@
     /// Plans, stores and sends.
     fn act(&mut self) {
         let now = self.shared.clock.now();
+        self.measure(now);
         let wall = self.shared.clock.wall_ms();
         self.ledger.plan(now, wall);
         if !self.writing {
@@ -240,6 +246,25 @@
         self.queued = later;
     }
 
+    /// Publishes the levels of the ledger.
+    fn measure(&mut self, now: Duration) {
+        if now < self.measured + LEVELS {
+            return;
+        }
+        self.measured = now;
+        let summary = self.ledger.summary(now);
+        let metrics = &self.shared.metrics;
+        metrics.level("jobs_waiting", summary.waiting);
+        metrics.level("jobs_open", summary.open);
+        metrics.level("runs", summary.runs);
+        metrics.level("runs_in_doubt", summary.doubtful);
+        metrics.level("workers", summary.workers);
+        metrics.level("workers_usable", summary.usable);
+        metrics.level("accelerators_free", summary.gpus_free);
+        metrics.level("accelerators_usable", summary.gpus_usable);
+        metrics.level("placer_epoch", self.tenure.epoch);
+    }
+
     fn log(&self, note: Note) {
         let event = match note.decision {
             Decision::Placed => Event::JobPlaced,
@@ -256,9 +281,9 @@
             Decision::Quarantined => Event::WorkerQuarantined,
             Decision::Paced => Event::RunPaced,
         };
-        self.shared
-            .log
-            .note_for(event, note.subject, note.account, note.detail);
+        self.shared.metrics.decision(event);
+        let log = &self.shared.log;
+        log.note_for(event, note.subject, note.account, note.detail);
     }
 
     fn look(&mut self, node: SmolStr) {
@@ -346,6 +371,8 @@
         };
         let (rpc, sender) = (self.rpc.clone(), self.sender.clone());
         let (tenure, clock) = (self.tenure.clone(), self.shared.clock.clone());
+        let metrics = self.shared.metrics.clone();
+        let (kind, sent) = (order_kind(&order), clock.now());
         compio::runtime::spawn(async move {
             let mut doubtful = false;
             let mut answer = Answer::Silent;
@@ -359,6 +386,7 @@
                 }
                 doubtful = true;
             }
+            metrics.step(kind, clock.now() - sent);
             let event = Input::Answered(node, boot, order, answer, doubtful);
             let _ = sender.unbounded_send(event);
         })
@@ -390,10 +418,12 @@
 
     fn write(&mut self, batch: Batch) {
         self.writing = true;
+        let began = self.shared.clock.now();
         let (shared, tenure) = (self.shared.clone(), self.tenure.clone());
         let sender = self.sender.clone();
         compio::runtime::spawn(async move {
             let stored = store(&shared, &tenure, &batch).await;
+            shared.metrics.step("write", shared.clock.now() - began);
             let _ = sender.unbounded_send(Input::Stored(batch, stored));
         })
         .detach();
@@ -462,6 +492,16 @@
     }
 }
 
+/// Returns the name under which the time of an order is measured.
+fn order_kind(order: &Order) -> &'static str {
+    match order {
+        Order::Look { .. } => "order_look",
+        Order::Start(_) => "order_start",
+        Order::Stop { .. } => "order_stop",
+        Order::Pace { .. } => "order_pace",
+    }
+}
+
 /// Sends an order to a sidecar and returns what is known of its outcome.
 async fn deliver(
     rpc: &RpcClient,
