Have a batch of records fit one transaction of the store

Cause: the store counts conditions and puts together, 32 at most. Ruled out: the election and the workers (all were seen within 0.1 s). Change: 15 records a batch; a call that the store will never accept has an error of its own and is not repeated; failed writes are logged (E1807). Test: a_batch_fits_one_transaction_of_the_store failed before.

--- a/crates/fleet/src/ledger/writes.rs
+++ b/crates/fleet/src/ledger/writes.rs
@@ -6,8 +6,9 @@
 use smol_str::SmolStr;
 use std::time::Duration;
 
-/// The most records of one transaction, which also names the placer's own key.
-const BATCH: usize = 31;
+/// The most records of one transaction: the store takes 32 entries, of which each
+/// record needs two, a condition and a put, and the placer's lease one.
+const BATCH: usize = 15;
 /// Time beyond the promised one before an ended job is deleted.
 const STATUS_SLACK: Duration = Duration::from_secs(60);
 
--- a/crates/fleet/tests/suite/departures.rs
+++ b/crates/fleet/tests/suite/departures.rs
@@ -4,6 +4,7 @@
 use crate::fixtures::rig;
 use crate::fixtures::step;
 use crate::fixtures::worker;
+use hibiscusbarrow_fleet::worker::Room;
 use std::time::Duration;
 
 const MOMENT: Duration = Duration::from_millis(300);
@@ -43,3 +44,29 @@
 
     assert_eq!(rig.starts.len(), 2);
 }
+
+#[test]
+fn a_batch_fits_one_transaction_of_the_store() {
+    const ENTRIES: usize = 32;
+    let mut big = worker("w1", "r1");
+    big.room = Room {
+        cpu: 1_000_000,
+        memory: 1_000_000,
+        gpus: 1_000,
+    };
+    let mut rig = rig().with("n1", big);
+    rig.run(MOMENT);
+    for number in 0..40 {
+        rig.submit(job(&format!("j{number}"), vec![step(1, 1)]));
+    }
+
+    rig.ledger.plan(rig.now, 0);
+    let batch = rig.ledger.take_batch(0).expect("records changed");
+
+    // A condition and a put for each record, and a condition on the lease.
+    assert!(
+        1 + 2 * batch.writes.len() <= ENTRIES,
+        "{}",
+        batch.writes.len()
+    );
+}
--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -82,6 +82,7 @@
     StoreBack = 1802, "The key-value service answers again.";
     MirrorReset = 1803, "The history of the store is gone; its content is read again.";
     StoreConflict = 1804, "A write met another revision than it named.";
+    WriteFailed = 1807, "A write of the placer failed and is repeated.";
     PathLost = 1805, "Calls to the key-value service go through another gateway.";
     PathBack = 1806, "Calls to the key-value service go there directly again.";
     PeerRefused = 1901, "A malformed or forged message was dropped.";
--- a/crates/roles/src/fleet/front.rs
+++ b/crates/roles/src/fleet/front.rs
@@ -193,6 +193,10 @@
                     return (Code::Done, json(Bytes::from_static(b"{}")));
                 }
                 Ok(Outcome::Conflict(items)) => return self.repeated(admitted, &record, &items),
+                Err(StoreError::Invalid(detail)) => {
+                    self.shared.log.note(Event::JobRefused, id, detail);
+                    return (Code::NotAccepted, come_back(503));
+                }
                 Ok(Outcome::NoLease) | Err(StoreError::Refused(_) | StoreError::Compacted) => {
                     refusals += 1;
                 }
@@ -314,7 +318,8 @@
                     held = item.and_then(|i| Some((Record::decode(&i.value?).ok()?, i.revision)));
                     continue;
                 }
-                Ok(Outcome::NoLease) | Err(StoreError::Refused(_) | StoreError::Compacted) => {
+                Ok(Outcome::NoLease)
+                | Err(StoreError::Refused(_) | StoreError::Invalid(_) | StoreError::Compacted) => {
                     record.cancelled = false;
                 }
                 Err(StoreError::Unknown(_)) => {
--- a/crates/roles/src/fleet/placer.rs
+++ b/crates/roles/src/fleet/placer.rs
@@ -549,7 +549,14 @@
             Ok(Outcome::Committed(revision)) => return Stored::At(revision),
             Ok(Outcome::Conflict(items)) => return settle(tenure, batch, items),
             Ok(Outcome::NoLease) => return Stored::Deposed,
-            Err(StoreError::Refused(_) | StoreError::Unknown(_) | StoreError::Compacted) => {
+            Err(StoreError::Invalid(detail)) => {
+                let detail = format!("epoch={} given up: {detail}", tenure.epoch);
+                shared.log.note(Event::WriteFailed, "placer", detail);
+                return Stored::Conflict(Vec::new());
+            }
+            Err(e) => {
+                let detail = format!("epoch={} records={}: {e}", tenure.epoch, batch.writes.len());
+                shared.log.note(Event::WriteFailed, "placer", detail);
                 sleep(WRITE_PAUSE).await;
             }
         }
--- a/crates/roles/src/fleet/port.rs
+++ b/crates/roles/src/fleet/port.rs
@@ -98,6 +98,9 @@
     /// The call had no effect.
     #[error("the store refused the call: {0}")]
     Refused(String),
+    /// The store will never accept this call.
+    #[error("the store does not accept the call: {0}")]
+    Invalid(String),
     /// The call may have taken effect, or may do so later.
     #[error("the store did not answer: {0}")]
     Unknown(String),
