--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -283,6 +283,11 @@
         self.epoch
     }
 
+    /// Returns a number that grows with each change of a record.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
     /// Tells whether a worker has seen a higher epoch.
     pub fn is_fenced(&self) -> bool {
         self.fenced
--- a/crates/fleet/src/ledger/plan.rs
+++ b/crates/fleet/src/ledger/plan.rs
@@ -1,6 +1,7 @@
 //! Deciding what starts next.
 
 use super::Decision;
+use super::Entry;
 use super::Ledger;
 use super::Phase;
 use super::Run;
@@ -10,9 +11,11 @@
 use super::fit::Slot;
 use super::task_id;
 use crate::record::Place;
+use crate::record::Record;
 use crate::worker::Order;
 use crate::worker::Start;
 use smol_str::SmolStr;
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -155,7 +158,7 @@
     fn classes(&self) -> HashMap<SmolStr, u32> {
         let mut open: Vec<_> = self.jobs.values().filter(|e| !e.record.is_over()).collect();
         open.sort_by(|a, b| {
-            let order = |e: &super::Entry| (e.job().accepted, e.job().id.clone());
+            let order = |e: &Entry| (e.job().accepted, e.job().id.clone());
             order(a).cmp(&order(b))
         });
         let mut used: HashMap<SmolStr, u64> = HashMap::new();
@@ -190,30 +193,28 @@
             let Some(class) = classes.get(id) else {
                 continue;
             };
-            let job = entry.record.job.clone();
+            let Entry {
+                record,
+                runs,
+                ready,
+                ..
+            } = entry;
+            let job = &record.job;
             for round in 0..job.rounds() {
                 if job.schedule.is_some() && wall < job.due(round) {
                     break;
                 }
                 for (at, step) in job.steps.iter().enumerate() {
                     let at = at as u32;
-                    let blocked = step
-                        .after
-                        .iter()
-                        .any(|a| !entry.record.step_done(round, *a));
-                    if blocked {
+                    if step.after.iter().any(|a| !record.step_done(round, *a)) {
                         continue;
                     }
-                    let idle = |index: &u32| {
-                        let done = entry.record.find(round, at, *index).is_some_and(|p| p.done);
-                        !done && !entry.runs.contains_key(&(round, at, *index))
-                    };
-                    let indices: Vec<u32> = (0..step.count).filter(idle).collect();
+                    let indices = idle_tasks(record, runs, round, at, step.count);
                     let whole = !step.gang || indices.len() == step.count as usize;
                     if indices.is_empty() || !whole {
                         continue;
                     }
-                    let since = *entry.ready.entry((round, at)).or_insert(now);
+                    let since = *ready.entry((round, at)).or_insert(now);
                     found.push(Candidate {
                         class: *class,
                         accepted: job.accepted,
@@ -387,3 +388,18 @@
         false
     }
 }
+
+/// Returns the tasks of a step that are neither done nor started.
+fn idle_tasks(
+    record: &Record,
+    runs: &BTreeMap<TaskKey, Run>,
+    round: u32,
+    step: u32,
+    count: u32,
+) -> Vec<u32> {
+    let idle = |index: &u32| {
+        let done = record.find(round, step, *index).is_some_and(|p| p.done);
+        !done && !runs.contains_key(&(round, step, *index))
+    };
+    (0..count).filter(idle).collect()
+}
--- a/crates/roles/src/fleet/placer.rs
+++ b/crates/roles/src/fleet/placer.rs
@@ -93,6 +93,12 @@
     /// Workers whose ends are being stored.
     waiting: BTreeSet<SmolStr>,
     silent: BTreeSet<SmolStr>,
+    /// Whether something happened that a plan must take into account.
+    stale: bool,
+    /// The changes of the ledger that the last plan took into account.
+    seen: u64,
+    /// When the last plan was made.
+    planned: Duration,
     /// When levels were last published.
     measured: Duration,
 }
@@ -129,6 +135,9 @@
         looking: BTreeSet::new(),
         waiting: BTreeSet::new(),
         silent: BTreeSet::new(),
+        stale: true,
+        seen: 0,
+        planned: now,
         measured: now,
     };
     placer.load();
@@ -181,6 +190,7 @@
 
     fn take(&mut self, event: Input) {
         let now = self.shared.clock.now();
+        self.stale |= !matches!(event, Input::Looked(..) | Input::LookDue(_));
         match event {
             Input::Changed(change) => self.changed(change, now),
             Input::Looked(node, sent, answer) => self.looked(node, sent, answer, now),
@@ -225,7 +235,11 @@
         let now = self.shared.clock.now();
         self.measure(now);
         let wall = self.shared.clock.wall_ms();
-        self.ledger.plan(now, wall);
+        let fresh = self.stale || self.ledger.changes() != self.seen;
+        if fresh || now >= self.planned + TICK {
+            self.ledger.plan(now, wall);
+            (self.stale, self.seen, self.planned) = (false, self.ledger.changes(), now);
+        }
         if !self.writing {
             let batch = self.ledger.take_batch(wall);
             if let Some(batch) = batch.or_else(|| self.ledger.take_expired(wall)) {
