Split the placer's writes and orders off; close forgotten connections

The placer's file held three jobs. A connection to a peer that was forgotten stayed open as long as its peer was silent; it now ends with its entry. Tests for recurring, lasting, serving and approved steps, attempts, checkpoints, standstills and quarantine; one for a gateway whose log no one reads.

--- a/crates/adapters/src/rpc/client.rs
+++ b/crates/adapters/src/rpc/client.rs
@@ -11,7 +11,9 @@
 use compio::io::compat::AsyncStream;
 use compio::net::TcpStream;
 use compio::time::timeout;
+use futures_channel::oneshot;
 use futures_util::AsyncReadExt;
+use futures_util::future::select;
 use hibiscusbarrow_model::code::Code;
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -45,6 +47,8 @@
 struct Peer {
     number: u64,
     client: node::Client,
+    /// Ends the connection when it is dropped, silent ones included.
+    _open: oneshot::Sender<()>,
 }
 
 impl RpcClient {
@@ -112,16 +116,18 @@
         let (reader, writer) = AsyncStream::new(stream).split();
         let network = VatNetwork::new(reader, writer, Side::Client, reader_options());
         let mut system = RpcSystem::new(Box::new(network), None);
+        let (open, closed) = oneshot::channel();
         let client: node::Client = system.bootstrap(Side::Server);
         let number = self.next.replace(self.next.get() + 1);
         let kept = Peer {
             number,
             client: client.clone(),
+            _open: open,
         };
         self.peers.borrow_mut().insert(addr, kept);
         let peers = self.peers.clone();
         compio::runtime::spawn(async move {
-            let _ = system.await;
+            select(system, closed).await;
             let mut peers = peers.borrow_mut();
             if peers.get(&addr).is_some_and(|p| p.number == number) {
                 peers.remove(&addr);
--- a/crates/fleet/tests/suite/fixtures.rs
+++ b/crates/fleet/tests/suite/fixtures.rs
@@ -39,6 +39,12 @@
     pub next: u64,
     /// Whether orders are answered.
     pub reachable: bool,
+    /// The load that every run reports.
+    pub load: u64,
+    /// The checkpoint that every run reports.
+    pub checkpoint: SmolStr,
+    /// Whether runs make no progress.
+    pub stuck: bool,
 }
 
 /// A placer between a store and workers, all in one thread.
@@ -83,6 +89,9 @@
         ended: Vec::new(),
         next: 1,
         reachable: true,
+        load: 0,
+        checkpoint: SmolStr::default(),
+        stuck: false,
     }
 }
 
@@ -278,14 +287,16 @@
     }
 
     fn listing(&mut self, now: Duration) -> Listing {
+        let (load, stuck) = (self.load, self.stuck);
+        let checkpoint = self.checkpoint.clone();
         let row = |((task, run), percent): (&(TaskId, u64), &mut u64)| {
-            *percent = (*percent + 1) % 100;
+            *percent = (*percent + u64::from(!stuck)) % 100;
             Running {
                 task: task.clone(),
                 run: *run,
-                checkpoint: SmolStr::default(),
+                checkpoint: checkpoint.clone(),
                 percent: *percent,
-                load: 0,
+                load,
             }
         };
         Listing {
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the job records and the placer's ledger.
 
 mod departures;
+mod features;
 mod fixtures;
 mod model;
 mod takeover;
--- a/crates/roles/src/fleet/agent.rs
+++ b/crates/roles/src/fleet/agent.rs
@@ -1,8 +1,8 @@
 //! The sidecar of a fleet: hears the worker beside it and passes orders on.
 
 use super::Shared;
+use super::deliver::ORDERS;
 use super::keys;
-use super::placer::ORDERS;
 use super::port::Beat;
 use super::port::Txn;
 use super::port::Worker;
--- /dev/null
+++ b/crates/roles/src/fleet/deliver.rs
@@ -0,0 +1,54 @@
+//! Sending orders to sidecars.
+
+use bytes::Bytes;
+use hibiscusbarrow_adapters::rpc::ForwardRequest;
+use hibiscusbarrow_adapters::rpc::RpcClient;
+use hibiscusbarrow_adapters::rpc::RpcError;
+use hibiscusbarrow_fleet::worker::Answer;
+use hibiscusbarrow_fleet::worker::Envelope;
+use hibiscusbarrow_fleet::worker::Order;
+use hibiscusbarrow_fleet::worker::Refusal;
+use hibiscusbarrow_model::code::Code;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// The name under which orders reach a sidecar.
+pub const ORDERS: &str = "orders";
+
+/// Returns the name under which the time of an order is measured.
+pub fn order_kind(order: &Order) -> &'static str {
+    match order {
+        Order::Look { .. } => "order_look",
+        Order::Start(_) => "order_start",
+        Order::Stop { .. } => "order_stop",
+        Order::Pace { .. } => "order_pace",
+    }
+}
+
+/// Sends an order to a sidecar and returns what is known of its outcome.
+pub async fn deliver(
+    rpc: &RpcClient,
+    addr: SocketAddr,
+    envelope: &Envelope,
+    limit: Duration,
+) -> Answer {
+    let request = ForwardRequest {
+        service: ORDERS.into(),
+        body: Bytes::from(serde_json::to_vec(envelope).expect("an order serialises")),
+        ..ForwardRequest::default()
+    };
+    match rpc.forward(addr, &request, limit).await {
+        Ok(reply) if reply.code == Code::Done => {
+            serde_json::from_slice(&reply.body).unwrap_or(Answer::Silent)
+        }
+        Ok(_) => Answer::Refused(Refusal::Boot),
+        Err(RpcError::NotSent(_)) => {
+            rpc.forget(addr);
+            Answer::Refused(Refusal::Boot)
+        }
+        Err(RpcError::Unanswered(_)) => {
+            rpc.forget(addr);
+            Answer::Silent
+        }
+    }
+}
--- a/crates/roles/src/fleet/mod.rs
+++ b/crates/roles/src/fleet/mod.rs
@@ -5,6 +5,8 @@
 //! between platforms stands behind the ports in [`port`].
 
 pub mod agent;
+mod commit;
+mod deliver;
 mod front;
 pub mod gateway;
 mod keys;
--- a/crates/roles/src/fleet/placer.rs
+++ b/crates/roles/src/fleet/placer.rs
@@ -1,6 +1,10 @@
 //! The placer: drives the ledger with what the store and the workers say.
 
 use super::Shared;
+use super::commit::Stored;
+use super::commit::store;
+use super::deliver::deliver;
+use super::deliver::order_kind;
 use super::keys;
 use super::lead::Tenure;
 use super::mirror::Change;
@@ -8,18 +12,13 @@
 use super::news::Courier;
 use super::port::Advisor;
 use super::port::Item;
-use super::port::Outcome;
-use super::port::StoreError;
-use super::port::Txn;
 use bytes::Bytes;
 use compio::time::sleep;
 use futures_channel::mpsc;
 use futures_util::StreamExt;
 use futures_util::future::Either;
 use futures_util::future::select;
-use hibiscusbarrow_adapters::rpc::ForwardRequest;
 use hibiscusbarrow_adapters::rpc::RpcClient;
-use hibiscusbarrow_adapters::rpc::RpcError;
 use hibiscusbarrow_fleet::ledger::Batch;
 use hibiscusbarrow_fleet::ledger::Decision;
 use hibiscusbarrow_fleet::ledger::Effect;
@@ -31,7 +30,7 @@
 use hibiscusbarrow_fleet::worker::Boot;
 use hibiscusbarrow_fleet::worker::Envelope;
 use hibiscusbarrow_fleet::worker::Order;
-use hibiscusbarrow_model::code::Code;
+use hibiscusbarrow_fleet::worker::Refusal;
 use hibiscusbarrow_model::event::Event;
 use smol_str::SmolStr;
 use std::collections::BTreeSet;
@@ -41,9 +40,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// The name under which orders reach a sidecar.
-pub const ORDERS: &str = "orders";
-
 /// The time between two publications of levels.
 const LEVELS: Duration = Duration::from_secs(1);
 /// The longest time between two plans.
@@ -56,8 +52,6 @@
 const LOOK_PAUSE: Duration = Duration::from_millis(250);
 /// The wait for the store before a worker with unstored ends is looked at again.
 const STORE_WAIT: Duration = Duration::from_millis(250);
-/// The pause before a write is repeated.
-const WRITE_PAUSE: Duration = Duration::from_millis(40);
 
 /// Enumerates what reaches the placer's task.
 enum Input {
@@ -69,13 +63,6 @@
     Advised(Inquiry, Duration, Option<Vec<(SmolStr, SmolStr)>>),
 }
 
-/// Enumerates how a write ended.
-enum Stored {
-    At(u64),
-    Conflict(Vec<Item>),
-    Deposed,
-}
-
 struct Placer {
     shared: Rc<Shared>,
     mirror: Rc<Mirror>,
@@ -359,8 +346,7 @@
                 if self.silent.insert(node.clone()) {
                     self.ledger.silent(&node, now);
                 }
-                let epoch = hibiscusbarrow_fleet::worker::Refusal::Epoch;
-                if other == Answer::Refused(epoch) {
+                if other == Answer::Refused(Refusal::Epoch) {
                     self.tenure.lost.raise();
                 }
                 self.later(node, LOOK_PAUSE);
@@ -505,98 +491,3 @@
         }
     }
 }
-
-/// Returns the name under which the time of an order is measured.
-fn order_kind(order: &Order) -> &'static str {
-    match order {
-        Order::Look { .. } => "order_look",
-        Order::Start(_) => "order_start",
-        Order::Stop { .. } => "order_stop",
-        Order::Pace { .. } => "order_pace",
-    }
-}
-
-/// Sends an order to a sidecar and returns what is known of its outcome.
-async fn deliver(
-    rpc: &RpcClient,
-    addr: SocketAddr,
-    envelope: &Envelope,
-    limit: Duration,
-) -> Answer {
-    let request = ForwardRequest {
-        service: ORDERS.into(),
-        body: Bytes::from(serde_json::to_vec(envelope).expect("an order serialises")),
-        ..ForwardRequest::default()
-    };
-    match rpc.forward(addr, &request, limit).await {
-        Ok(reply) if reply.code == Code::Done => {
-            serde_json::from_slice(&reply.body).unwrap_or(Answer::Silent)
-        }
-        Ok(_) => Answer::Refused(hibiscusbarrow_fleet::worker::Refusal::Boot),
-        Err(RpcError::NotSent(_)) => {
-            rpc.forget(addr);
-            Answer::Refused(hibiscusbarrow_fleet::worker::Refusal::Boot)
-        }
-        Err(RpcError::Unanswered(_)) => {
-            rpc.forget(addr);
-            Answer::Silent
-        }
-    }
-}
-
-/// Stores a batch; repeats it until its outcome is known.
-async fn store(shared: &Shared, tenure: &Tenure, batch: &Batch) -> Stored {
-    let mut txn = Txn {
-        conditions: vec![(keys::PLACER.into(), tenure.epoch)],
-        ..Txn::default()
-    };
-    for write in &batch.writes {
-        let key = keys::job(&write.job);
-        txn.conditions.push((key.clone(), write.revision));
-        match &write.value {
-            Some(value) => txn.puts.push((key, Bytes::from(value.clone()), 0)),
-            None => txn.deletes.push(key),
-        }
-    }
-    while !tenure.lost.is_raised() {
-        match (shared.store.commit)(txn.clone()).await {
-            Ok(Outcome::Committed(revision)) => return Stored::At(revision),
-            Ok(Outcome::Conflict(items)) => return settle(tenure, batch, items),
-            Ok(Outcome::NoLease) => return Stored::Deposed,
-            Err(StoreError::Invalid(detail)) => {
-                let detail = format!("epoch={} given up: {detail}", tenure.epoch);
-                shared.log.note(Event::WriteFailed, "placer", detail);
-                return Stored::Conflict(Vec::new());
-            }
-            Err(e) => {
-                let detail = format!("epoch={} records={}: {e}", tenure.epoch, batch.writes.len());
-                shared.log.note(Event::WriteFailed, "placer", detail);
-                sleep(WRITE_PAUSE).await;
-            }
-        }
-    }
-    Stored::Deposed
-}
-
-/// Tells a conflict from an earlier attempt that did take effect.
-fn settle(tenure: &Tenure, batch: &Batch, items: Vec<Item>) -> Stored {
-    let holder = items.iter().find(|i| i.key == keys::PLACER);
-    if holder.is_some_and(|i| i.revision != tenure.epoch || i.value.is_none()) {
-        return Stored::Deposed;
-    }
-    let landed = batch.writes.iter().all(|w| {
-        let key = keys::job(&w.job);
-        let item = items.iter().find(|i| i.key == key);
-        let held = item.and_then(|i| i.value.as_deref());
-        held == w.value.as_deref()
-    });
-    let newest = items
-        .iter()
-        .filter(|i| i.key != keys::PLACER)
-        .map(|i| i.revision)
-        .max();
-    match newest {
-        Some(revision) if landed => Stored::At(revision),
-        _ => Stored::Conflict(items),
-    }
-}
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -435,3 +435,33 @@
         f.state(other, JOB).contains("completed")
     });
 }
+
+#[test]
+fn gateway_whose_log_no_one_reads_goes_on_serving() {
+    let mut fleet = Fleet::start(1, 1);
+    fleet.kill(0);
+    let path = fleet.dir.join("p0.toml");
+    let child = Command::new(env!("CARGO_BIN_EXE_hibiscusbarrow"))
+        .args(["fleet", "serve"])
+        .env("HIBISCUSBARROW_CONFIG", &path)
+        .stdout(std::process::Stdio::piped())
+        .spawn()
+        .expect("the process starts");
+    fleet.children.insert("p0".into(), child);
+    fleet.wait("it is ready", |f| f.is_ready(0));
+
+    // Several events at their full budget fill the pipe within seconds.
+    let end = Instant::now() + Duration::from_secs(6);
+    let long = "x".repeat(2_000);
+    while Instant::now() < end {
+        for _ in 0..60 {
+            fleet.call(0, "GET", &format!("/none/{long}"), "");
+        }
+    }
+
+    let body = standin::job(&[(1, 1)], 100);
+    assert_eq!(fleet.call(0, "POST", JOB, &body).0, 200);
+    fleet.wait("the job completes", |f| {
+        f.state(0, JOB).contains("completed")
+    });
+}
