--- a/crates/adapters/src/rpc/client.rs
+++ b/crates/adapters/src/rpc/client.rs
@@ -44,11 +44,12 @@
 }
 
 /// A kept connection, numbered so that only its own end removes it.
+#[derive(Clone)]
 struct Peer {
     number: u64,
     client: node::Client,
-    /// Ends the connection when it is dropped, silent ones included.
-    _open: oneshot::Sender<()>,
+    /// Ends the connection, silent ones included, when the last call has let go of it.
+    _open: Rc<oneshot::Sender<()>>,
 }
 
 impl RpcClient {
@@ -59,8 +60,8 @@
         request: &ForwardRequest,
         limit: Duration,
     ) -> Result<ForwardReply, RpcError> {
-        let client = self.peer(addr).await?;
-        let mut call = client.forward_request();
+        let peer = self.peer(addr).await?;
+        let mut call = peer.client.forward_request();
         write_request(call.get().init_request(), request);
         let answer = async {
             let response = call.send().promise.await?;
@@ -76,8 +77,8 @@
         above: u64,
         limit: Duration,
     ) -> Result<Option<(u64, Bytes)>, RpcError> {
-        let client = self.peer(addr).await?;
-        let mut call = client.config_request();
+        let peer = self.peer(addr).await?;
+        let mut call = peer.client.config_request();
         call.get().set_above(above);
         let answer = async {
             let response = call.send().promise.await?;
@@ -104,9 +105,9 @@
         }
     }
 
-    async fn peer(&self, addr: SocketAddr) -> Result<node::Client, RpcError> {
+    async fn peer(&self, addr: SocketAddr) -> Result<Peer, RpcError> {
         if let Some(peer) = self.peers.borrow().get(&addr) {
-            return Ok(peer.client.clone());
+            return Ok(peer.clone());
         }
         let stream = timeout(CONNECT_LIMIT, TcpStream::connect(addr))
             .await
@@ -121,10 +122,10 @@
         let number = self.next.replace(self.next.get() + 1);
         let kept = Peer {
             number,
-            client: client.clone(),
-            _open: open,
+            client,
+            _open: Rc::new(open),
         };
-        self.peers.borrow_mut().insert(addr, kept);
+        self.peers.borrow_mut().insert(addr, kept.clone());
         let peers = self.peers.clone();
         compio::runtime::spawn(async move {
             select(system, closed).await;
@@ -134,10 +135,10 @@
             }
         })
         .detach();
-        Ok(client)
+        Ok(kept)
     }
 
-    /// Drops the connection to a peer that is gone.
+    /// Drops the connection to a peer that is gone; calls in flight go on.
     pub fn forget(&self, addr: SocketAddr) {
         self.peers.borrow_mut().remove(&addr);
     }
