--- a/crates/adapters/src/rpc/client.rs
+++ b/crates/adapters/src/rpc/client.rs
@@ -11,9 +11,7 @@
 use compio::io::compat::AsyncStream;
 use compio::net::TcpStream;
 use compio::time::timeout;
-use futures_channel::oneshot;
 use futures_util::AsyncReadExt;
-use futures_util::future::select;
 use hibiscusbarrow_model::code::Code;
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -44,12 +42,9 @@
 }
 
 /// A kept connection, numbered so that only its own end removes it.
-#[derive(Clone)]
 struct Peer {
     number: u64,
     client: node::Client,
-    /// Ends the connection, silent ones included, when the last call has let go of it.
-    _open: Rc<oneshot::Sender<()>>,
 }
 
 impl RpcClient {
@@ -60,8 +55,8 @@
         request: &ForwardRequest,
         limit: Duration,
     ) -> Result<ForwardReply, RpcError> {
-        let peer = self.peer(addr).await?;
-        let mut call = peer.client.forward_request();
+        let client = self.peer(addr).await?;
+        let mut call = client.forward_request();
         write_request(call.get().init_request(), request);
         let answer = async {
             let response = call.send().promise.await?;
@@ -77,8 +72,8 @@
         above: u64,
         limit: Duration,
     ) -> Result<Option<(u64, Bytes)>, RpcError> {
-        let peer = self.peer(addr).await?;
-        let mut call = peer.client.config_request();
+        let client = self.peer(addr).await?;
+        let mut call = client.config_request();
         call.get().set_above(above);
         let answer = async {
             let response = call.send().promise.await?;
@@ -105,9 +100,9 @@
         }
     }
 
-    async fn peer(&self, addr: SocketAddr) -> Result<Peer, RpcError> {
+    async fn peer(&self, addr: SocketAddr) -> Result<node::Client, RpcError> {
         if let Some(peer) = self.peers.borrow().get(&addr) {
-            return Ok(peer.clone());
+            return Ok(peer.client.clone());
         }
         let stream = timeout(CONNECT_LIMIT, TcpStream::connect(addr))
             .await
@@ -117,28 +112,26 @@
         let (reader, writer) = AsyncStream::new(stream).split();
         let network = VatNetwork::new(reader, writer, Side::Client, reader_options());
         let mut system = RpcSystem::new(Box::new(network), None);
-        let (open, closed) = oneshot::channel();
         let client: node::Client = system.bootstrap(Side::Server);
         let number = self.next.replace(self.next.get() + 1);
         let kept = Peer {
             number,
-            client,
-            _open: Rc::new(open),
+            client: client.clone(),
         };
-        self.peers.borrow_mut().insert(addr, kept.clone());
+        self.peers.borrow_mut().insert(addr, kept);
         let peers = self.peers.clone();
         compio::runtime::spawn(async move {
-            select(system, closed).await;
+            let _ = system.await;
             let mut peers = peers.borrow_mut();
             if peers.get(&addr).is_some_and(|p| p.number == number) {
                 peers.remove(&addr);
             }
         })
         .detach();
-        Ok(kept)
+        Ok(client)
     }
 
-    /// Drops the connection to a peer that is gone; calls in flight go on.
+    /// Drops the connection to a peer that is gone.
     pub fn forget(&self, addr: SocketAddr) {
         self.peers.borrow_mut().remove(&addr);
     }
