Build stops in one place; log when metrics cannot be served

The order that stops a run was built twice, and a failure to bind the address of metrics was dropped without a line. No change of behaviour otherwise.

--- a/crates/fleet/src/ledger/ends.rs
+++ b/crates/fleet/src/ledger/ends.rs
@@ -4,6 +4,7 @@
 use super::Effect;
 use super::Ledger;
 use super::Phase;
+use super::Run;
 use super::TaskKey;
 use super::task_id;
 use crate::worker::End;
@@ -12,6 +13,18 @@
 use smol_str::SmolStr;
 use std::time::Duration;
 
+/// Returns the order that stops a run, or bars it.
+pub(super) fn stop_order(id: &SmolStr, key: TaskKey, run: &Run) -> Effect {
+    Effect::Send {
+        node: run.node.clone(),
+        boot: run.boot.clone(),
+        order: Order::Stop {
+            task: task_id(id, key),
+            run: run.number,
+        },
+    }
+}
+
 impl Ledger {
     pub(super) fn take_end(&mut self, node: &SmolStr, ended: &Ended, now: Duration) {
         let id = &ended.task.job;
@@ -174,14 +187,7 @@
         run.enter(Phase::Stopping, now);
         run.stopped = Some(now);
         let detail = format!("task={key:?} run={} worker={}: {why}", run.number, run.node);
-        let effect = Effect::Send {
-            node: run.node.clone(),
-            boot: run.boot.clone(),
-            order: Order::Stop {
-                task: task_id(id, key),
-                run: run.number,
-            },
-        };
+        let effect = stop_order(id, key, run);
         self.effects.push(effect);
         self.note(Decision::Stopped, id, &account, detail);
     }
--- a/crates/fleet/src/ledger/listing.rs
+++ b/crates/fleet/src/ledger/listing.rs
@@ -5,7 +5,7 @@
 use super::Ledger;
 use super::Phase;
 use super::TaskKey;
-use super::task_id;
+use super::ends::stop_order;
 use crate::worker::Announcement;
 use crate::worker::Boot;
 use crate::worker::Ended;
@@ -272,14 +272,7 @@
             return;
         }
         run.stopped = Some(now);
-        let effect = Effect::Send {
-            node: run.node.clone(),
-            boot: run.boot.clone(),
-            order: Order::Stop {
-                task: task_id(id, key),
-                run: run.number,
-            },
-        };
+        let effect = stop_order(id, key, run);
         self.effects.push(effect);
     }
 }
--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -37,6 +37,7 @@
     Stopped = 1003, "The process finished its work and stopped.";
     Reloaded = 1004, "The settings were read again.";
     LinesDropped = 1005, "Lines of one event were dropped to bound the volume.";
+    MetricsUnserved = 1006, "The address of metrics could not be bound.";
     MemberJoined = 1101, "A member was seen alive.";
     MemberSuspected = 1102, "A member stopped answering and is suspected.";
     MemberDied = 1103, "A member is considered dead.";
--- a/crates/roles/src/fleet/agent.rs
+++ b/crates/roles/src/fleet/agent.rs
@@ -73,7 +73,7 @@
     let peers = TcpListener::bind(settings.peer)
         .await
         .context("binding for peers")?;
-    serve_metrics(shared.metrics.clone(), settings.metrics);
+    serve_metrics(&shared);
     let detail = format!("sidecar beats={:?} peer={}", settings.beats, settings.peer);
     shared
         .log
--- a/crates/roles/src/fleet/gateway.rs
+++ b/crates/roles/src/fleet/gateway.rs
@@ -61,7 +61,7 @@
     let peers = TcpListener::bind(settings.peer)
         .await
         .context("binding for peers")?;
-    serve_metrics(shared.metrics.clone(), settings.metrics);
+    serve_metrics(&shared);
     let detail = format!(
         "gateway callers={:?} peer={}",
         settings.front, settings.peer
--- a/crates/roles/src/fleet/mod.rs
+++ b/crates/roles/src/fleet/mod.rs
@@ -24,7 +24,7 @@
 use hibiscusbarrow_adapters::metrics::Metrics;
 use hibiscusbarrow_adapters::signal::Flag;
 use hibiscusbarrow_coordination::clock::Clock;
-use std::net::SocketAddr;
+use hibiscusbarrow_model::event::Event;
 use std::rc::Rc;
 
 /// Holds what the tasks of one process share.
@@ -44,15 +44,17 @@
 }
 
 /// Serves the metrics of a process until it ends.
-fn serve_metrics(metrics: Rc<Metrics>, addr: SocketAddr) {
+fn serve_metrics(shared: &Rc<Shared>) {
+    let (metrics, log) = (shared.metrics.clone(), shared.log.clone());
+    let addr = shared.settings.metrics;
     compio::runtime::spawn(async move {
         let handler = move |_| {
             let body = metrics.render();
             async move { text_reply(200, body) }
         };
-        let listener = compio::net::TcpListener::bind(addr).await;
-        if let Ok(listener) = listener {
-            serve(listener, Limits::default(), Flag::default(), handler).await;
+        match compio::net::TcpListener::bind(addr).await {
+            Ok(listener) => serve(listener, Limits::default(), Flag::default(), handler).await,
+            Err(e) => log.note(Event::MetricsUnserved, "metrics", format!("{addr}: {e}")),
         }
     })
     .detach();
