--- a/crates/roles/src/fleet/agent.rs
+++ b/crates/roles/src/fleet/agent.rs
@@ -2,9 +2,9 @@
 
 use super::Shared;
 use super::deliver::ORDERS;
+use super::entry::enter;
 use super::keys;
 use super::port::Beat;
-use super::port::Txn;
 use super::port::Worker;
 use super::serve_metrics;
 use anyhow::Context;
@@ -37,8 +37,6 @@
 
 /// A sidecar that heard no placer for this long enters its address again.
 const UNHEARD: Duration = Duration::from_secs(6);
-/// The pause before the address is entered again after a failure.
-const RETRY: Duration = Duration::from_millis(300);
 /// Time for answers in flight at a planned stop.
 const FAREWELL: Duration = Duration::from_millis(300);
 
@@ -111,20 +109,9 @@
 impl Agent {
     /// Enters the own address so that the placer finds it.
     async fn enter(self: Rc<Self>) {
-        let settings = &self.shared.settings;
-        let txn = Txn {
-            puts: vec![(
-                keys::worker(&settings.name),
-                Bytes::from(settings.peer.to_string()),
-                0,
-            )],
-            ..Txn::default()
-        };
         loop {
-            match (self.shared.store.commit)(txn.clone()).await {
-                Ok(_) => self.wait_unheard().await,
-                Err(_) => sleep(RETRY).await,
-            }
+            enter(&self.shared, keys::worker(&self.shared.settings.name)).await;
+            self.wait_unheard().await;
         }
     }
 
--- /dev/null
+++ b/crates/roles/src/fleet/entry.rs
@@ -0,0 +1,34 @@
+//! Entering the address of a process so that others find it.
+
+use super::Shared;
+use super::port::Txn;
+use bytes::Bytes;
+use compio::time::sleep;
+use hibiscusbarrow_model::event::Event;
+use smol_str::SmolStr;
+use std::time::Duration;
+
+/// The pause before the address is entered again after a failure.
+const RETRY: Duration = Duration::from_millis(300);
+
+/// Enters the own address under a key; repeats it until the store has it.
+pub async fn enter(shared: &Shared, key: SmolStr) {
+    let settings = &shared.settings;
+    let txn = Txn {
+        puts: vec![(key, Bytes::from(settings.peer.to_string()), 0)],
+        ..Txn::default()
+    };
+    let began = shared.clock.now();
+    let mut failed = false;
+    while let Err(e) = (shared.store.commit)(txn.clone()).await {
+        if !std::mem::replace(&mut failed, true) {
+            let detail = format!("entering {}: {e}", settings.peer);
+            shared.log.note(Event::StoreDown, "entry", detail);
+        }
+        sleep(RETRY).await;
+    }
+    if failed {
+        let detail = format!("after={:?}", shared.clock.now() - began);
+        shared.log.note(Event::StoreBack, "entry", detail);
+    }
+}
--- a/crates/roles/src/fleet/gateway.rs
+++ b/crates/roles/src/fleet/gateway.rs
@@ -1,6 +1,7 @@
 //! The gateway of a fleet: serves callers, and may be the placer.
 
 use super::Shared;
+use super::entry::enter;
 use super::front::Front;
 use super::keys;
 use super::lead;
@@ -11,13 +12,10 @@
 use super::port::Advisor;
 use super::port::Callers;
 use super::port::Store;
-use super::port::Txn;
 use super::relay;
 use super::serve_metrics;
 use anyhow::Context;
-use bytes::Bytes;
 use compio::net::TcpListener;
-use compio::time::sleep;
 use hibiscusbarrow_adapters::http::Limits;
 use hibiscusbarrow_adapters::http::serve;
 use hibiscusbarrow_adapters::http::text_reply;
@@ -28,12 +26,9 @@
 use hibiscusbarrow_model::code::Code;
 use hibiscusbarrow_model::event::Event;
 use std::rc::Rc;
-use std::time::Duration;
 
 /// The part of the grace during which new connections are still served.
 const NOTICE_SHARE: u32 = 2;
-/// The pause before the own address is entered again after a failure.
-const ENTER_PAUSE: Duration = Duration::from_millis(300);
 
 /// Runs a gateway until it is asked to stop.
 ///
@@ -76,7 +71,8 @@
         mirror.clone(),
         rpc.clone(),
     ));
-    spawn(enter(shared.clone()));
+    let entering = shared.clone();
+    spawn(async move { enter(&entering, keys::gateway(&entering.settings.name)).await });
     spawn(serve_peers(peers, own, shared.clone(), mirror.clone()));
     spawn(serve_ready(ready, shared.clone(), mirror.clone()));
     let courier = Rc::new(Courier {
@@ -119,22 +115,6 @@
     compio::runtime::spawn(task).detach();
 }
 
-/// Enters the own address so that other gateways find it.
-async fn enter(shared: Rc<Shared>) {
-    let settings = &shared.settings;
-    let txn = Txn {
-        puts: vec![(
-            keys::gateway(&settings.name),
-            Bytes::from(settings.peer.to_string()),
-            0,
-        )],
-        ..Txn::default()
-    };
-    while (shared.store.commit)(txn.clone()).await.is_err() {
-        sleep(ENTER_PAUSE).await;
-    }
-}
-
 /// Has calls to the store go through other gateways when the own path fails.
 fn through_peers(shared: Shared, mirror: &Rc<Mirror>, rpc: &Rc<RpcClient>) -> Shared {
     let (name, mirror) = (shared.settings.name.clone(), mirror.clone());
--- a/crates/roles/src/fleet/lead.rs
+++ b/crates/roles/src/fleet/lead.rs
@@ -120,7 +120,9 @@
             let _ = (shared.store.revoke)(id).await;
             return None;
         }
-        Err(_) => {
+        Err(e) => {
+            let detail = format!("lease={id} the claim is given up: {e}");
+            shared.log.note(Event::WriteFailed, "placer", detail);
             // A late arrival must not leave a lease that no one renews.
             let _ = (shared.store.revoke)(id).await;
             return None;
