--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -26,6 +26,9 @@
     pub priority: u32,
     /// The failed attempts of one task after which the job fails.
     pub attempts: u32,
+    /// By when callers expect the job to end, if they do.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub objective: Option<Objective>,
     /// Whether a policy decides which workers may run a step.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub policy: Option<Policy>,
@@ -40,6 +43,15 @@
     pub schedule: Option<Schedule>,
 }
 
+/// Describes how long the jobs of a queue may take.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Objective {
+    /// The share of the longest chain of declared run times, in percent.
+    pub stretch: u64,
+    /// Time on top of that, in milliseconds.
+    pub base: u64,
+}
+
 /// Describes a policy service that approves workers for a step.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Policy {
@@ -165,6 +177,36 @@
         schedule.start + schedule.interval * u64::from(round)
     }
 
+    /// Returns when an occurrence should have ended, in milliseconds since the Unix
+    /// epoch; never without an objective.
+    pub fn deadline(&self, round: u32) -> u64 {
+        let Some(objective) = self.objective else {
+            return u64::MAX;
+        };
+        let begin = if self.schedule.is_some() {
+            self.due(round)
+        } else {
+            self.accepted
+        };
+        begin + self.chain(0) * objective.stretch / 100 + objective.base
+    }
+
+    /// Returns the longest chain of declared run times that begins with a step or a
+    /// later one that depends on it, in milliseconds; from step 0, of the whole job.
+    pub fn chain(&self, from: usize) -> u64 {
+        let mut ends = vec![0; self.steps.len()];
+        let mut longest = 0;
+        for (i, step) in self.steps.iter().enumerate().skip(from) {
+            let before = step.after.iter().map(|a| ends[*a as usize]).max();
+            let follows = i == from || from == 0 || before.is_some_and(|end| end > 0);
+            if follows {
+                ends[i] = before.unwrap_or(0) + step.runtime.max(1);
+                longest = longest.max(ends[i]);
+            }
+        }
+        longest
+    }
+
     /// Returns the accelerators of the widest step, which a guarantee must cover.
     pub fn accelerators(&self) -> u64 {
         let steps = self.steps.iter();
--- a/crates/fleet/src/ledger/ends.rs
+++ b/crates/fleet/src/ledger/ends.rs
@@ -49,12 +49,15 @@
             "task={key:?} run={} worker={node} end={:?} number={}",
             ended.run, ended.end, ended.number
         );
-        entry.runs.remove(&key);
+        let run = entry.runs.remove(&key);
         let lasting = entry.step(key).lasting;
         let gang = entry.step(key).gang;
         self.note(Decision::Ended, id, &account, detail);
         self.keep_checkpoint(id, key, &ended.checkpoint);
         self.judge(node, id, ended.end, now);
+        if let Some(run) = run.filter(|r| r.phase == Phase::Live && ended.end == End::Done) {
+            self.learn_speed(id, key, &run, now);
+        }
         match ended.end {
             End::Done if !lasting => self.finish_task(id, key, gang, now),
             End::Failed if !lasting => self.count_failure(id, key, ended.run, node, now),
--- a/crates/fleet/src/ledger/fit.rs
+++ b/crates/fleet/src/ledger/fit.rs
@@ -5,6 +5,7 @@
 use super::Phase;
 use super::TaskKey;
 use super::need;
+use super::plan::ORDINARY;
 use crate::job::Step;
 use crate::worker::Boot;
 use crate::worker::Room;
@@ -24,6 +25,8 @@
     labels: Vec<SmolStr>,
     service: SmolStr,
     suspect: bool,
+    /// How slow the worker is, in steps that make a difference.
+    slowness: i64,
     pub(super) total: Room,
     pub(super) free: Room,
     /// Room of runs that are being stopped.
@@ -37,6 +40,10 @@
 pub(super) struct Candidate {
     /// Lower classes come first.
     pub(super) class: u32,
+    /// Whether the job can no longer end when its callers expect it.
+    pub(super) late: bool,
+    /// When the occurrence should end, in milliseconds since the Unix epoch.
+    pub(super) deadline: u64,
     /// When the job was accepted, in milliseconds since the Unix epoch.
     pub(super) accepted: u64,
     pub(super) job: SmolStr,
@@ -75,6 +82,7 @@
                 labels: announced.labels.clone(),
                 service: announced.service.clone(),
                 suspect: worker.health.is_suspect(),
+                slowness: worker.speed.bucket(),
                 total: worker.room(),
                 free: worker.room(),
                 freeing: Room::default(),
@@ -133,7 +141,7 @@
                     && room_beside(entry, candidate, step, slot, *at, &placed)
             };
             let best = slots.iter().enumerate().filter(open);
-            let best = best.min_by_key(|(at, slot)| rank(entry, step, slot, *at, &placed));
+            let best = best.min_by_key(|(at, slot)| rank(entry, candidate, slot, *at, &placed));
             let Some(at) = best.map(|(at, _)| at) else {
                 break;
             };
@@ -186,16 +194,23 @@
     ((there + here) as u64) < step.spread
 }
 
-/// Ranks a worker for a task: near its data, sound, and tightly filled.
+/// Ranks a worker for a task: near its data, sound, fast if the task is urgent and
+/// slow if it is not, and tightly filled.
 fn rank(
     entry: &Entry,
-    step: &Step,
+    candidate: &Candidate,
     slot: &Slot,
     at: usize,
     placed: &[(u32, usize)],
-) -> (bool, bool, bool, u64, u64, usize) {
+) -> (bool, bool, bool, i64, u64, u64, usize) {
+    let step = &entry.record.job.steps[candidate.step as usize];
     let far = !step.rack.is_empty() && slot.rack != step.rack;
     let bad = slot.suspect || entry.avoided.contains(&slot.node);
     let apart = step.gang && !placed.is_empty() && !placed.iter().any(|(_, p)| *p == at);
-    (far, bad, apart, slot.free.gpus, slot.free.memory, at)
+    let speed = if candidate.class <= ORDINARY {
+        slot.slowness
+    } else {
+        0
+    };
+    (far, bad, apart, speed, slot.free.gpus, slot.free.memory, at)
 }
--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -15,6 +15,7 @@
 mod plan;
 mod policy;
 mod preempt;
+mod speed;
 mod writes;
 
 pub use policy::Inquiry;
@@ -112,6 +113,8 @@
     pace: u64,
     /// The newest reported load.
     load: u64,
+    /// Whether the run began with a checkpoint.
+    resumed: bool,
 }
 
 /// Holds a job and what the store knows of it.
@@ -132,6 +135,8 @@
     approvals: HashMap<(u32, u32), policy::Approval>,
     /// When a step became ready, by occurrence and step.
     ready: HashMap<(u32, u32), Duration>,
+    /// How far declared run times were off, by occurrence and step.
+    biases: HashMap<(u32, u32), speed::Bias>,
 }
 
 /// Holds a worker and what it last said.
@@ -155,6 +160,7 @@
     pending: Vec<(u64, Vec<(SmolStr, u64)>)>,
     strays: HashMap<(TaskId, u64), Duration>,
     health: health::Health,
+    speed: speed::Speed,
     /// The life that has left, and when that became known.
     left: Option<(SmolStr, Duration)>,
 }
@@ -432,6 +438,7 @@
             counted: HashSet::new(),
             approvals: HashMap::new(),
             ready: HashMap::new(),
+            biases: HashMap::new(),
         }
     }
 
@@ -469,6 +476,7 @@
             stopped: None,
             pace: 100,
             load: 0,
+            resumed: false,
         }
     }
 
@@ -495,6 +503,7 @@
             pending: Vec::new(),
             strays: HashMap::new(),
             health: health::Health::default(),
+            speed: speed::Speed::default(),
             left: None,
         }
     }
--- a/crates/fleet/src/ledger/plan.rs
+++ b/crates/fleet/src/ledger/plan.rs
@@ -10,6 +10,7 @@
 use super::fit::Candidate;
 use super::fit::Slot;
 use super::task_id;
+use crate::job::Step;
 use crate::record::Place;
 use crate::record::Record;
 use crate::worker::Order;
@@ -19,8 +20,13 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// A run whose progress did not change for this long stands still.
-const STANDSTILL: Duration = Duration::from_millis(3_500);
+/// A run without progress for this long stands still, whatever it does.
+const MAX_STANDSTILL: Duration = Duration::from_millis(3_500);
+/// A run without progress for less than this may just be between two looks.
+const MIN_STANDSTILL: Duration = Duration::from_millis(1_500);
+/// The part of its declared run time, in percent, in which a run makes some progress
+/// even on a worker that is ten times too slow.
+const PROGRESS_SHARE: u32 = 20;
 /// The longest wait for a place near the data or for a whole rack.
 const MAX_PATIENCE: Duration = Duration::from_secs(8);
 /// A step that waited this long gets workers kept for it.
@@ -32,6 +38,10 @@
 /// The steps for which workers are kept at once.
 const MAX_KEPT: usize = 2;
 
+/// The part of a declared run time that a task takes at least, in percent; declared
+/// run times are off by half either way.
+const LEAST_RUNTIME: u64 = 70;
+
 /// The core-seconds that an urgent job beyond its guarantee may throw away.
 const URGENT_COST: u64 = 500;
 
@@ -40,7 +50,7 @@
 /// The class of lasting tasks, which are restarted at once.
 const LASTING: u32 = 1;
 /// The class of jobs of priority 0 beyond their guarantee.
-const ORDINARY: u32 = 2;
+pub(super) const ORDINARY: u32 = 2;
 
 impl Ledger {
     /// Decides what starts and stops, given the time and the time of day.
@@ -61,7 +71,7 @@
             };
             let budget = match candidate.class {
                 GUARANTEED => Some(u64::MAX),
-                ORDINARY => Some(URGENT_COST),
+                ORDINARY if !candidate.late => Some(URGENT_COST),
                 _ => None,
             };
             if let Some(budget) = budget
@@ -133,7 +143,7 @@
             for (key, run) in &entry.runs {
                 let step = entry.step(*key);
                 let heard = self.workers.get(&run.node).and_then(|w| w.heard);
-                let fresh = heard.is_some_and(|at| at > run.moved + STANDSTILL);
+                let fresh = heard.is_some_and(|at| at > run.moved + standstill(step, run));
                 let paced = step.filler && run.pace < 100;
                 if run.phase == Phase::Live && run.percent < 100 && fresh && !paced {
                     stuck.push((id.clone(), *key, run.node.clone(), step.gang));
@@ -215,8 +225,12 @@
                         continue;
                     }
                     let since = *ready.entry((round, at)).or_insert(now);
+                    let deadline = job.deadline(round);
+                    let rest = job.chain(at as usize) * LEAST_RUNTIME / 100;
                     found.push(Candidate {
                         class: *class,
+                        late: wall + rest > deadline,
+                        deadline,
                         accepted: job.accepted,
                         job: id.clone(),
                         round,
@@ -228,8 +242,11 @@
             }
         }
         found.sort_by(|a, b| {
-            let order = |c: &Candidate| (c.class, c.accepted, c.job.clone(), c.round, c.step);
-            order(a).cmp(&order(b))
+            let urgency = |c: &Candidate| (c.class, c.late, c.deadline, c.accepted);
+            let name = |c: &Candidate| (c.job.clone(), c.round, c.step);
+            urgency(a)
+                .cmp(&urgency(b))
+                .then_with(|| name(a).cmp(&name(b)))
         });
         found
     }
@@ -252,7 +269,9 @@
                 let area = Area::Rack(rack.clone());
                 !self.fit(candidate, &mut empty, &area).is_empty()
             };
-            let whole: Vec<SmolStr> = racks.iter().filter(|r| fits(r)).cloned().collect();
+            let mut whole: Vec<SmolStr> = racks.iter().filter(|r| fits(r)).cloned().collect();
+            let sign = if candidate.class <= ORDINARY { 1 } else { 0 };
+            whole.sort_by_key(|r| sign * self.rack_slowness(r));
             let confined = !whole.is_empty();
             areas.extend(whole.into_iter().map(Area::Rack));
             if confined && patient {
@@ -356,6 +375,7 @@
         };
         if let Some(run) = self.jobs.get_mut(id).and_then(|e| e.runs.get_mut(&key)) {
             run.enter(Phase::Ordered, now);
+            run.resumed = !checkpoint.is_empty();
         }
         let start = Start {
             task: task_id(id, key),
@@ -389,6 +409,17 @@
     }
 }
 
+/// Returns the time without progress after which a run stands still.
+fn standstill(step: &Step, run: &Run) -> Duration {
+    // Members of a gang wait for each other before they make progress.
+    let waits = step.gang && run.percent == 0;
+    if waits || step.lasting || step.runtime == 0 {
+        return MAX_STANDSTILL;
+    }
+    let declared = Duration::from_millis(step.runtime);
+    (declared * PROGRESS_SHARE / 100).clamp(MIN_STANDSTILL, MAX_STANDSTILL)
+}
+
 /// Returns the tasks of a step that are neither done nor started.
 fn idle_tasks(
     record: &Record,
--- a/crates/fleet/src/manifest.rs
+++ b/crates/fleet/src/manifest.rs
@@ -1,5 +1,6 @@
 //! The operators' manifest: queues, services and client accounts.
 
+use crate::job::Objective;
 use crate::job::Policy;
 use smol_str::SmolStr;
 use std::collections::HashMap;
@@ -36,6 +37,8 @@
     pub priority: u32,
     /// The failed attempts of one task after which a job fails.
     pub attempts: u32,
+    /// By when callers expect a job to end, if they do.
+    pub objective: Option<Objective>,
     /// Whether no key is needed.
     pub public: bool,
     /// The policy that approves workers, if any.
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -4,5 +4,6 @@
 mod features;
 mod fixtures;
 mod model;
+mod order;
 mod takeover;
 mod urgency;
--- a/crates/roles/src/fleet/front.rs
+++ b/crates/roles/src/fleet/front.rs
@@ -223,6 +223,7 @@
             account: admitted.account.clone(),
             priority: admitted.queue.priority,
             attempts: admitted.queue.attempts,
+            objective: admitted.queue.objective,
             policy: admitted.queue.policy,
             accepted: self.shared.clock.wall_ms(),
             spec: submission.spec,
