Answer a job whose write may still land as unknown, at every gateway

Cause: after a write without an answer (504) a second attempt during the outage was answered 503, "not accepted", although the first write can take effect seconds later: a false "not run" for the caller. Change: a write without an answer for 0.3 s is remembered and told to the other gateways; until 30 s later none of them says "not accepted" for that job. The answer may be sent up to 40 ms before the caller's time is up, 250 ms before. Test: fleet::job_whose_write_may_still_land_..., fails without the change (503). Left: a gateway that dies with a write in flight cannot tell the others.

--- a/crates/roles/src/fleet/front.rs
+++ b/crates/roles/src/fleet/front.rs
@@ -1,9 +1,11 @@
 //! Serving callers: accepting, showing and cancelling jobs.
 
 use super::Shared;
+use super::doubt::Doubts;
 use super::keys;
 use super::mirror::Mirror;
 use super::news::Courier;
+use super::news::News;
 use super::port::Callers;
 use super::port::Item;
 use super::port::Outcome;
@@ -12,6 +14,8 @@
 use bytes::Bytes;
 use compio::time::sleep;
 use compio::time::timeout;
+use futures_util::future::Either;
+use futures_util::future::select;
 use hibiscusbarrow_adapters::http::Reply;
 use hibiscusbarrow_adapters::http::Request;
 use hibiscusbarrow_adapters::http::text_reply;
@@ -27,19 +31,26 @@
 use http::Method;
 use http::header;
 use smol_str::SmolStr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// The wait of a caller that names none.
 const DEFAULT_LIMIT: Duration = Duration::from_secs(3);
-/// Time for the answer to reach the caller.
-const ANSWER_MARGIN: Duration = Duration::from_millis(250);
+/// Time for the answer to reach the caller: a few network delays of a millisecond, and
+/// as much again for a busy machine.
+const ANSWER_MARGIN: Duration = Duration::from_millis(40);
+/// The least time in which the store can be asked; it answers in about 4 ms.
+const LEAST_TIME: Duration = Duration::from_millis(15);
 /// The pause before a call to the store is repeated.
 const RETRY: Duration = Duration::from_millis(60);
 /// When a refused caller should come back, in seconds.
 const COME_BACK: &str = "1";
 /// The time for which a write in doubt is repeated before the caller is told so.
 const MAX_DOUBT: Duration = Duration::from_millis(1_200);
+/// The time without an answer after which the other gateways learn that a write is in
+/// doubt; well before the caller is told, who may then ask one of them.
+const DOUBT_NOTICE: Duration = Duration::from_millis(300);
 /// Refusals of the store after which a caller is told to come back.
 const MAX_REFUSALS: u32 = 2;
 
@@ -53,6 +64,8 @@
     pub callers: Callers,
     /// Tells the placer of jobs at once.
     pub courier: Rc<Courier>,
+    /// The jobs of which no gateway may say that they were not accepted.
+    pub doubts: Rc<Doubts>,
 }
 
 /// Holds a request that was checked against the manifest.
@@ -167,11 +180,11 @@
                 return (Code::BadRequest, text_reply(400, detail));
             }
         };
-        let late = self.shared.clock.now() + RETRY > admitted.until;
+        let id = admitted.rest.clone();
+        let late = self.shared.clock.now() + LEAST_TIME > admitted.until;
         if self.mirror.is_lost() || late {
-            return (Code::NotAccepted, come_back(503));
+            return self.not_accepted(&id);
         }
-        let id = admitted.rest.clone();
         let record = Rc::new(Record::new(job));
         let txn = Txn {
             conditions: vec![(keys::job(&id), 0)],
@@ -182,10 +195,16 @@
         let mut doubt = false;
         let mut refusals = 0;
         loop {
-            match self
-                .commit(txn.clone(), admitted.until.min(began + MAX_DOUBT))
-                .await
-            {
+            let until = admitted.until.min(began + MAX_DOUBT);
+            let write = pin!(self.commit(txn.clone(), until));
+            let outcome = match select(write, pin!(sleep(DOUBT_NOTICE))).await {
+                Either::Left((outcome, _)) => outcome,
+                Either::Right((_, write)) => {
+                    self.note_doubt(&id);
+                    write.await
+                }
+            };
+            match outcome {
                 Ok(Outcome::Committed(revision)) => {
                     self.accepted(admitted, &record, revision);
                     let elapsed = self.shared.clock.now() - began;
@@ -194,26 +213,46 @@
                 }
                 Ok(Outcome::Conflict(items)) => return self.repeated(admitted, &record, &items),
                 Err(StoreError::Invalid(detail)) => {
-                    self.shared.log.note(Event::JobRefused, id, detail);
-                    return (Code::NotAccepted, come_back(503));
+                    self.shared.log.note(Event::JobRefused, id.clone(), detail);
+                    return self.not_accepted(&id);
                 }
                 Ok(Outcome::NoLease) | Err(StoreError::Refused(_) | StoreError::Compacted) => {
                     refusals += 1;
                 }
-                Err(StoreError::Unknown(_)) => doubt = true,
+                Err(StoreError::Unknown(_)) => {
+                    doubt = true;
+                    self.note_doubt(&id);
+                }
             }
-            let until = admitted.until.min(began + MAX_DOUBT);
             let out_of_time = self.shared.clock.now() + RETRY > until;
             if out_of_time && doubt {
                 return (Code::AcceptUnknown, text_reply(504, ""));
             }
             if !doubt && (out_of_time || refusals >= MAX_REFUSALS) {
-                return (Code::NotAccepted, come_back(503));
+                return self.not_accepted(&id);
             }
             sleep(RETRY).await;
         }
     }
 
+    /// Remembers that a job may yet be stored, and tells the other gateways once.
+    fn note_doubt(&self, id: &SmolStr) {
+        let now = self.shared.clock.now();
+        if !self.doubts.holds(id, now) {
+            self.doubts.note(id, now);
+            self.courier.tell_all(&News::Doubtful(id.clone()));
+        }
+    }
+
+    /// Answers that a job was not accepted, unless an earlier attempt may yet be stored.
+    fn not_accepted(&self, id: &str) -> (Code, Reply) {
+        if self.doubts.holds(id, self.shared.clock.now()) {
+            (Code::AcceptUnknown, text_reply(504, ""))
+        } else {
+            (Code::NotAccepted, come_back(503))
+        }
+    }
+
     fn job(&self, admitted: &Admitted, body: &[u8]) -> Result<Job, String> {
         let submission = (self.callers.job)(body)?;
         let job = Job {
--- a/crates/roles/src/fleet/gateway.rs
+++ b/crates/roles/src/fleet/gateway.rs
@@ -1,6 +1,7 @@
 //! The gateway of a fleet: serves callers, and may be the placer.
 
 use super::Shared;
+use super::doubt::Doubts;
 use super::entry::enter;
 use super::front::Front;
 use super::keys;
@@ -73,7 +74,14 @@
     ));
     let entering = shared.clone();
     spawn(async move { enter(&entering, keys::gateway(&entering.settings.name)).await });
-    spawn(serve_peers(peers, own, shared.clone(), mirror.clone()));
+    let doubts = Rc::new(Doubts::default());
+    spawn(serve_peers(
+        peers,
+        own,
+        shared.clone(),
+        mirror.clone(),
+        doubts.clone(),
+    ));
     spawn(serve_ready(ready, shared.clone(), mirror.clone()));
     let courier = Rc::new(Courier {
         name: settings.name.clone(),
@@ -99,6 +107,7 @@
         mirror,
         callers,
         courier,
+        doubts,
     });
     let handle = move |request| handler.clone().handle(request);
     serve(front, limits, shared.stop.clone(), handle).await;
@@ -134,17 +143,24 @@
     Shared { store, ..shared }
 }
 
-async fn serve_peers(listener: TcpListener, store: Store, shared: Rc<Shared>, mirror: Rc<Mirror>) {
+async fn serve_peers(
+    listener: TcpListener,
+    store: Store,
+    shared: Rc<Shared>,
+    mirror: Rc<Mirror>,
+    doubts: Rc<Doubts>,
+) {
     let listening = mirror.clone();
     let handlers = Handlers {
         forward: Rc::new(move |request| {
             let (store, shared, mirror) = (store.clone(), shared.clone(), listening.clone());
+            let doubts = doubts.clone();
             Box::pin(async move {
                 if request.service == relay::STORE {
                     return relay::serve(store, request).await;
                 }
                 if request.service == news::NEWS {
-                    return news::take(&mirror, &shared, &request);
+                    return news::take(&mirror, &doubts, &shared, &request);
                 }
                 rpc::ForwardReply::failure(Code::UnknownService, "")
             })
--- a/crates/roles/src/fleet/mod.rs
+++ b/crates/roles/src/fleet/mod.rs
@@ -7,6 +7,7 @@
 pub mod agent;
 mod commit;
 mod deliver;
+mod doubt;
 mod entry;
 mod front;
 pub mod gateway;
--- a/crates/roles/src/fleet/news.rs
+++ b/crates/roles/src/fleet/news.rs
@@ -3,6 +3,7 @@
 //! The store's watch stays the source of truth; news only saves its delay, and
 //! is ignored where a newer revision is known.
 
+use super::doubt::Doubts;
 use super::mirror::Mirror;
 use super::port::Item;
 use bytes::Bytes;
@@ -10,6 +11,8 @@
 use hibiscusbarrow_adapters::rpc::ForwardRequest;
 use hibiscusbarrow_adapters::rpc::RpcClient;
 use hibiscusbarrow_model::code::Code;
+use serde::Deserialize;
+use serde::Serialize;
 use smol_str::SmolStr;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -21,6 +24,15 @@
 /// The longest wait for a gateway to take news.
 const LIMIT: Duration = Duration::from_millis(300);
 
+/// Enumerates what gateways tell each other.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub enum News {
+    /// Items as they were written.
+    Written(Vec<Item>),
+    /// A job whose write got no answer yet.
+    Doubtful(SmolStr),
+}
+
 /// Sends news to other gateways.
 pub struct Courier {
     /// The name of this gateway.
@@ -39,24 +51,24 @@
             .filter(|(name, _)| *name != self.name)
             .and_then(|(name, _)| self.mirror.gateways.borrow().get(&name).copied());
         if let Some(addr) = addr {
-            self.send(addr, &[item]);
+            self.send(addr, &News::Written(vec![item]));
         }
     }
 
     /// Tells all other gateways of writes.
-    pub fn tell_all(&self, items: &[Item]) {
+    pub fn tell_all(&self, news: &News) {
         let addrs: Vec<SocketAddr> = {
             let gateways = self.mirror.gateways.borrow();
             let others = gateways.iter().filter(|(n, _)| **n != self.name);
             others.map(|(_, addr)| *addr).collect()
         };
         for addr in addrs {
-            self.send(addr, items);
+            self.send(addr, news);
         }
     }
 
-    fn send(&self, addr: SocketAddr, items: &[Item]) {
-        let body = postcard::to_allocvec(items).expect("items serialise");
+    fn send(&self, addr: SocketAddr, news: &News) {
+        let body = postcard::to_allocvec(news).expect("news serialise");
         let request = ForwardRequest {
             service: NEWS.into(),
             body: Bytes::from(body),
@@ -64,7 +76,7 @@
         };
         let rpc = self.rpc.clone();
         compio::runtime::spawn(async move {
-            // The watch brings what gets lost here.
+            // The watch brings the writes that get lost here.
             if rpc.forward(addr, &request, LIMIT).await.is_err() {
                 rpc.forget(addr);
             }
@@ -74,9 +86,18 @@
 }
 
 /// Takes news in.
-pub fn take(mirror: &Mirror, shared: &super::Shared, request: &ForwardRequest) -> ForwardReply {
-    match postcard::from_bytes::<Vec<Item>>(&request.body) {
-        Ok(items) => {
+pub fn take(
+    mirror: &Mirror,
+    doubts: &Doubts,
+    shared: &super::Shared,
+    request: &ForwardRequest,
+) -> ForwardReply {
+    match postcard::from_bytes::<News>(&request.body) {
+        Ok(News::Doubtful(id)) => {
+            doubts.note(&id, shared.clock.now());
+            ForwardReply::failure(Code::Done, "")
+        }
+        Ok(News::Written(items)) => {
             for item in items {
                 mirror.apply(shared, item);
             }
--- a/crates/roles/src/fleet/placer.rs
+++ b/crates/roles/src/fleet/placer.rs
@@ -10,6 +10,7 @@
 use super::mirror::Change;
 use super::mirror::Mirror;
 use super::news::Courier;
+use super::news::News;
 use super::port::Advisor;
 use super::port::Item;
 use bytes::Bytes;
@@ -467,7 +468,7 @@
         if items.is_empty() {
             return;
         }
-        self.courier.tell_all(&items);
+        self.courier.tell_all(&News::Written(items.clone()));
         for item in items {
             self.mirror.apply(&self.shared, item);
         }
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -465,3 +465,29 @@
         f.state(0, JOB).contains("completed")
     });
 }
+
+#[test]
+fn job_whose_write_may_still_land_is_never_said_not_to_have_run() {
+    let fleet = Fleet::start(2, 1);
+    fleet.wait("both are ready", |f| f.is_ready(0) && f.is_ready(1));
+    let body = standin::job(&[(1, 1)], 100);
+    fleet.store.silence(true);
+
+    let first = fleet.call(0, "POST", JOB, &body).0;
+    let fresh = AtomicU32::new(0xb0);
+    fleet.wait("a new job is refused at once by both", |f| {
+        let path = format!("/pairs/{:016x}", fresh.fetch_add(1, Ordering::Relaxed));
+        (0..2).all(|g| f.call(g, "POST", &path, &body).0 == 503)
+    });
+    let again: Vec<u16> = (0..2)
+        .map(|g| fleet.call(g, "POST", JOB, &body).0)
+        .collect();
+
+    assert_eq!(first, 504);
+    assert_eq!(again, [504, 504]);
+    fleet.store.silence(false);
+    fleet.wait("the job completes after all", |f| {
+        f.state(1, JOB).contains("completed")
+    });
+    assert!(fleet.starts().values().all(|n| *n == 1));
+}
