Tell from logs what became of a job, and why

`hibiscusbarrow explain ID [--log FILE]` reads the logs of all processes, corrects clocks by what must have come first, prints the job's story with what it depended on, marks the deciding event and names outcome and cause. Reading and merging logs moved from the time line into a module of its own, used by both. A slow worker is not a cause it knows. Tests: six stories from made-up logs, driven through the program.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -175,6 +175,16 @@
             required name: String
         }
 
+        /// Tells from logs what became of a job, and why.
+        cmd explain {
+            /// A log file of JSON lines; without one, standard input is read.
+            repeated --log log: PathBuf
+            /// Prints JSON.
+            optional --json
+            /// The identifier of the job.
+            required name: String
+        }
+
         /// Merges the events of all processes into one time line.
         cmd timeline {
             /// The HTTP address of a gateway, which names all others.
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -5,6 +5,7 @@
 use crate::cli;
 use crate::embedded::Embedded;
 use crate::embedded::Plan;
+use crate::logs;
 use anyhow::Context;
 use anyhow::Result;
 use anyhow::ensure;
@@ -63,7 +64,7 @@
     client::block_on(async {
         send_requests(&system.gateways).await?;
         let mut records = timeline::collect(gateway).await?;
-        timeline::merge(&mut records);
+        logs::merge(&mut records);
         timeline::draw(&records, &svg)?;
         println!(
             "wrote {} events of the time line to {}",
--- /dev/null
+++ b/src/cmd/explain/mod.rs
@@ -0,0 +1,90 @@
+//! `hibiscusbarrow explain`.
+
+mod cause;
+mod story;
+
+use crate::cli;
+use crate::logs;
+use crate::output;
+use anyhow::Context;
+use anyhow::Result;
+use anyhow::bail;
+use hibiscusbarrow_model::event::Record;
+use serde::Serialize;
+use std::io::Read;
+
+/// Holds what the logs tell about one job.
+#[derive(Serialize)]
+struct Explanation {
+    /// The job.
+    job: String,
+    /// What became of it.
+    outcome: String,
+    /// Why; empty if the logs do not tell.
+    cause: String,
+    /// The position of the deciding event.
+    decisive: Option<usize>,
+    /// The events of the job and of what it depended on, in order.
+    events: Vec<Record>,
+}
+
+/// Reads logs and prints the story of one job with the deciding event marked.
+pub fn execute(args: cli::Explain) -> Result<()> {
+    let mut records = Vec::new();
+    for path in &args.log {
+        records.extend(logs::read(path)?);
+    }
+    if args.log.is_empty() {
+        let mut text = String::new();
+        let read = std::io::stdin().read_to_string(&mut text);
+        read.context("reading the log from standard input")?;
+        records = logs::parse(&text);
+    }
+    logs::merge(&mut records);
+    let moved = logs::align(&mut records);
+    for (process, by) in &moved {
+        eprintln!("note: the clock of {process} was behind by {by} ms at least; corrected");
+    }
+    logs::merge(&mut records);
+    let events = story::select(&records, &args.name);
+    if !events.iter().any(|e| e.subject == args.name) {
+        bail!("the logs hold nothing about {}", args.name);
+    }
+    let verdict = cause::find(&events, &args.name);
+    let explanation = Explanation {
+        job: args.name,
+        outcome: verdict.outcome,
+        cause: verdict.cause,
+        decisive: verdict.decisive,
+        events,
+    };
+    output::show(args.json, &explanation, text);
+    Ok(())
+}
+
+fn text(explanation: &Explanation) -> String {
+    let origin = explanation.events.first().map_or(0, |r| r.at);
+    let mut lines = Vec::new();
+    for (at, record) in explanation.events.iter().enumerate() {
+        let mark = if explanation.decisive == Some(at) {
+            "=>"
+        } else {
+            "  "
+        };
+        let since = (record.at - origin) as f64 / 1000.0;
+        let own = record.subject == explanation.job.as_str();
+        let subject = if own { "" } else { record.subject.as_str() };
+        let line = format!(
+            "{mark}{since:>9.3} {:<22} {} {subject} {}",
+            record.process, record.event, record.detail
+        );
+        lines.push(line.trim_end().to_owned());
+    }
+    lines.push(format!("outcome: {}", explanation.outcome));
+    let cause = match explanation.cause.as_str() {
+        "" => "not told by these logs",
+        known => known,
+    };
+    lines.push(format!("cause: {cause}"));
+    lines.join("\n")
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 pub mod client;
 mod demo;
 mod diff;
+mod explain;
 mod fleet;
 mod gateway;
 mod get;
@@ -40,6 +41,7 @@
         Command::Status(args) => status::execute(args),
         Command::Submit(args) => submit::execute(args),
         Command::Cancel(args) => cancel::execute(args),
+        Command::Explain(args) => explain::execute(args),
         Command::Timeline(args) => timeline::execute(args),
         Command::Demo(args) => demo::execute(args),
         Command::Bench(args) => bench::execute(args),
--- a/src/cmd/timeline.rs
+++ b/src/cmd/timeline.rs
@@ -2,10 +2,10 @@
 
 use super::client;
 use crate::cli;
+use crate::logs;
 use crate::output;
 use anyhow::Context;
 use anyhow::Result;
-use hibiscusbarrow_model::event::Event;
 use hibiscusbarrow_model::event::Record;
 use hibiscusbarrow_model::state::Status;
 use plotters::prelude::*;
@@ -32,9 +32,9 @@
         None => Vec::new(),
     };
     for path in &args.log {
-        records.extend(read_log(path)?);
+        records.extend(logs::read(path)?);
     }
-    merge(&mut records);
+    logs::merge(&mut records);
     let wanted = |r: &Record| {
         let subject = args.subject.as_ref().is_none_or(|s| r.subject == *s);
         subject && args.account.as_ref().is_none_or(|a| r.account == *a)
@@ -60,54 +60,6 @@
     Ok(records)
 }
 
-/// Puts events into one order: by time, then by process and position.
-///
-/// Events of one process keep their order whatever its clock does.
-pub fn merge(records: &mut [Record]) {
-    records.sort_by(|a, b| (&a.process, a.seq).cmp(&(&b.process, b.seq)));
-    let mut latest = 0;
-    let mut process = smol_str::SmolStr::default();
-    for record in records.iter_mut() {
-        if record.process != process {
-            process = record.process.clone();
-            latest = 0;
-        }
-        latest = latest.max(record.at);
-        record.at = latest;
-    }
-    records.sort_by(|a, b| (a.at, &a.process, a.seq).cmp(&(b.at, &b.process, b.seq)));
-}
-
-/// Reads events from a log of JSON lines.
-fn read_log(path: &Path) -> Result<Vec<Record>> {
-    let text = client::read(path)?;
-    let mut records = Vec::new();
-    for (number, line) in text.lines().enumerate() {
-        let Ok(value) = serde_json::from_str::<serde_json::Value>(line) else {
-            continue;
-        };
-        let Some(record) = record_of(&value, number as u64) else {
-            continue;
-        };
-        records.push(record);
-    }
-    Ok(records)
-}
-
-fn record_of(line: &serde_json::Value, seq: u64) -> Option<Record> {
-    let text = |name: &str| line.get(name).and_then(|v| v.as_str()).unwrap_or("").into();
-    let event = line.get("event")?.as_u64()?;
-    Some(Record {
-        at: line.get("at")?.as_u64()?,
-        seq,
-        process: text("process"),
-        event: Event::try_from(u16::try_from(event).ok()?).ok()?,
-        subject: text("subject"),
-        account: text("account"),
-        detail: text("detail"),
-    })
-}
-
 fn text(records: &[Record]) -> String {
     let origin = records.first().map_or(0, |r| r.at);
     let line = |r: &Record| {
--- /dev/null
+++ b/src/logs/mod.rs
@@ -0,0 +1,65 @@
+//! Reading the logs of several processes and putting them into one order.
+
+mod align;
+
+pub use align::align;
+
+use crate::cmd::client;
+use anyhow::Result;
+use hibiscusbarrow_model::event::Event;
+use hibiscusbarrow_model::event::Record;
+use serde_json::Value;
+use std::path::Path;
+
+/// Reads events from a log of JSON lines.
+///
+/// # Errors
+///
+/// Fails if the file cannot be read. Lines that hold no event are passed over.
+pub fn read(path: &Path) -> Result<Vec<Record>> {
+    Ok(parse(&client::read(path)?))
+}
+
+/// Returns the events among lines of text; what stands before a line's first brace is
+/// passed over, so that collectors may add a time or a name.
+pub fn parse(text: &str) -> Vec<Record> {
+    let lines = text.lines().enumerate();
+    let found = lines.filter_map(|(number, line)| {
+        let object = &line[line.find('{')?..];
+        let value: Value = serde_json::from_str(object).ok()?;
+        record_of(&value, number as u64)
+    });
+    found.collect()
+}
+
+/// Puts events into one order: by time, then by process and position.
+///
+/// Events of one process keep their order whatever its clock does.
+pub fn merge(records: &mut [Record]) {
+    records.sort_by(|a, b| (&a.process, a.seq).cmp(&(&b.process, b.seq)));
+    let mut latest = 0;
+    let mut process = smol_str::SmolStr::default();
+    for record in records.iter_mut() {
+        if record.process != process {
+            process = record.process.clone();
+            latest = 0;
+        }
+        latest = latest.max(record.at);
+        record.at = latest;
+    }
+    records.sort_by(|a, b| (a.at, &a.process, a.seq).cmp(&(b.at, &b.process, b.seq)));
+}
+
+fn record_of(line: &Value, seq: u64) -> Option<Record> {
+    let text = |name: &str| line.get(name).and_then(|v| v.as_str()).unwrap_or("").into();
+    let event = line.get("event")?.as_u64()?;
+    Some(Record {
+        at: line.get("at")?.as_u64()?,
+        seq,
+        process: text("process"),
+        event: Event::try_from(u16::try_from(event).ok()?).ok()?,
+        subject: text("subject"),
+        account: text("account"),
+        detail: text("detail"),
+    })
+}
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 mod cli;
 mod cmd;
 mod embedded;
+mod logs;
 mod output;
 
 use std::process::ExitCode;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod cluster;
 mod commands;
 mod configuration;
+mod explain;
 mod failures;
 mod fleet;
 mod jobs;
