Prove each rule of placing on a planted fault

Cause: of 18 faults planted in the ledger, eight were caught by no test (starts of cancelled jobs, gangs in part, partners of a lost member, guarantees, draining workers, spread, labels, room of runs being stopped, ends of lasting tasks). No fault of the ledger itself was found by them.

--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -5,5 +5,6 @@
 mod fixtures;
 mod model;
 mod order;
+mod rules;
 mod takeover;
 mod urgency;
