Split placing from supervision, and accepting from the rest of the front

plan.rs held what starts and what becomes of runs; front.rs had grown by the doubts. Two new files, code moved unchanged. A list of a worker that cannot be read is now logged with what could not be read (it was logged as refused without it).

--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -17,6 +17,7 @@
 mod policy;
 mod preempt;
 mod speed;
+mod supervise;
 mod writes;
 
 pub use policy::Inquiry;
--- a/crates/fleet/src/ledger/plan.rs
+++ b/crates/fleet/src/ledger/plan.rs
@@ -11,7 +11,6 @@
 use super::fit::Demand;
 use super::fit::Slot;
 use super::task_id;
-use crate::job::Step;
 use crate::record::Place;
 use crate::record::Record;
 use crate::worker::Order;
@@ -21,21 +20,10 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// A run without progress for this long stands still, whatever it does.
-const MAX_STANDSTILL: Duration = Duration::from_millis(3_500);
-/// A run without progress for less than this may just be between two looks.
-const MIN_STANDSTILL: Duration = Duration::from_millis(1_500);
-/// The part of its declared run time, in percent, in which a run makes some progress
-/// even on a worker that is ten times too slow.
-const PROGRESS_SHARE: u32 = 20;
 /// The longest wait for a place near the data or for a whole rack.
 const MAX_PATIENCE: Duration = Duration::from_secs(8);
 /// A step that waited this long gets workers kept for it.
 const KEEP_AFTER: Duration = Duration::from_millis(1_500);
-/// Time for a worker that has left to end.
-const DEPARTURE: Duration = Duration::from_millis(500);
-/// The pause between two writes of new checkpoints.
-const SAVE_PAUSE: Duration = Duration::from_secs(1);
 /// The steps for which workers are kept at once.
 const MAX_KEPT: usize = 2;
 
@@ -96,85 +84,6 @@
         }
     }
 
-    /// Ends runs on workers that are silent beyond the last lease.
-    fn expire(&mut self, now: Duration) {
-        let begun = self.takeover_horizon();
-        let mut lapsed: Vec<(SmolStr, TaskKey)> = Vec::new();
-        for (id, entry) in &self.jobs {
-            for (key, run) in &entry.runs {
-                let worker = self.workers.get(&run.node);
-                let left = worker.and_then(|w| w.left.as_ref());
-                let ended = left.filter(|(id, _)| *id == run.boot.id);
-                if ended.is_some_and(|(_, at)| now > *at + DEPARTURE) {
-                    lapsed.push((id.clone(), *key));
-                    continue;
-                }
-                let horizon = worker.map_or(begun, |w| w.horizon.max(begun));
-                let silent = worker.and_then(|w| w.heard).is_none_or(|at| at < run.since);
-                let heard = worker.and_then(|w| w.heard).unwrap_or_default();
-                let quiet = now > heard + self.bounds.hold;
-                if run.phase != Phase::Planned && now > horizon && (silent || quiet) {
-                    lapsed.push((id.clone(), *key));
-                }
-            }
-        }
-        for (id, key) in lapsed {
-            self.lose(&id, key, "the worker has left or its lease has lapsed", now);
-        }
-    }
-
-    /// Takes new checkpoints into the records, so that they outlive every process.
-    fn save_checkpoints(&mut self, now: Duration) {
-        if now < self.saved + SAVE_PAUSE {
-            return;
-        }
-        self.saved = now;
-        let mut fresh = Vec::new();
-        for (id, entry) in &self.jobs {
-            for (key, run) in &entry.runs {
-                let gang = entry.step(*key).gang;
-                let index = if gang { 0 } else { key.2 };
-                let held = entry.record.find(key.0, key.1, index);
-                let known = held.is_some_and(|p| p.checkpoint == run.checkpoint);
-                let speaks = !gang || key.2 == 0;
-                if run.phase == Phase::Live && !run.checkpoint.is_empty() && !known && speaks {
-                    fresh.push((id.clone(), *key, run.checkpoint.clone()));
-                }
-            }
-        }
-        for (id, key, checkpoint) in fresh {
-            self.keep_checkpoint(&id, key, &checkpoint);
-            self.touch(&id);
-        }
-    }
-
-    fn stop_standstills(&mut self, now: Duration) {
-        let mut stuck = Vec::new();
-        for (id, entry) in &self.jobs {
-            for (key, run) in &entry.runs {
-                let step = entry.step(*key);
-                let heard = self.workers.get(&run.node).and_then(|w| w.heard);
-                let fresh = heard.is_some_and(|at| at > run.moved + standstill(step, run));
-                let paced = step.filler && run.pace < 100;
-                if run.phase == Phase::Live && run.percent < 100 && fresh && !paced {
-                    stuck.push((id.clone(), *key, run.node.clone(), step.gang));
-                }
-            }
-        }
-        for (id, key, node, gang) in stuck {
-            if let Some(entry) = self.jobs.get_mut(&id) {
-                entry.avoided.insert(node.clone());
-            }
-            if !gang {
-                self.blame_standstill(&node, now);
-            }
-            self.stop_run(&id, key, "the run stands still", now);
-            if gang {
-                self.break_gang(&id, key, now);
-            }
-        }
-    }
-
     /// Returns the class of each job that is not over.
     fn classes(&self) -> HashMap<SmolStr, u32> {
         let mut open: Vec<_> = self.jobs.values().filter(|e| !e.record.is_over()).collect();
@@ -424,17 +333,6 @@
     }
 }
 
-/// Returns the time without progress after which a run stands still.
-fn standstill(step: &Step, run: &Run) -> Duration {
-    // Members of a gang wait for each other before they make progress.
-    let waits = step.gang && run.percent == 0;
-    if waits || step.lasting || step.runtime == 0 {
-        return MAX_STANDSTILL;
-    }
-    let declared = Duration::from_millis(step.runtime);
-    (declared * PROGRESS_SHARE / 100).clamp(MIN_STANDSTILL, MAX_STANDSTILL)
-}
-
 /// Returns the tasks of a step that are neither done nor started.
 fn idle_tasks(
     record: &Record,
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -231,6 +231,8 @@
     Refused(Refusal),
     /// The worker with this identifier has left; nothing runs on it any longer.
     Left(SmolStr),
+    /// The worker listed something that cannot be read; says what.
+    Unreadable(SmolStr),
     /// The worker did not answer; the order may take effect later.
     Silent,
 }
--- a/crates/roles/src/fleet/agent.rs
+++ b/crates/roles/src/fleet/agent.rs
@@ -288,7 +288,7 @@
                 }
             }
             Answer::Accepted | Answer::Left(_) => answer,
-            Answer::Refused(_) | Answer::Silent => {
+            Answer::Refused(_) | Answer::Unreadable(_) | Answer::Silent => {
                 let detail = format!("epoch={} {:?}: {answer:?}", envelope.epoch, envelope.order);
                 let log = &self.shared.log;
                 log.note(
--- /dev/null
+++ b/crates/roles/src/fleet/front/submit.rs
@@ -0,0 +1,176 @@
+//! Accepting jobs.
+
+use super::Admitted;
+use super::Front;
+use super::RETRY;
+use super::come_back;
+use super::json;
+use crate::fleet::keys;
+use crate::fleet::news::News;
+use crate::fleet::port::Item;
+use crate::fleet::port::Outcome;
+use crate::fleet::port::StoreError;
+use crate::fleet::port::Txn;
+use bytes::Bytes;
+use compio::time::sleep;
+use futures_util::future::Either;
+use futures_util::future::select;
+use hibiscusbarrow_adapters::http::Reply;
+use hibiscusbarrow_adapters::http::text_reply;
+use hibiscusbarrow_fleet::job::Job;
+use hibiscusbarrow_fleet::record::Record;
+use hibiscusbarrow_model::code::Code;
+use hibiscusbarrow_model::event::Event;
+use smol_str::SmolStr;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// The time for which a write in doubt is repeated before the caller is told so.
+const MAX_DOUBT: Duration = Duration::from_millis(1_200);
+/// Refusals of the store after which a caller is told to come back.
+const MAX_REFUSALS: u32 = 2;
+/// The time without an answer after which the other gateways learn that a write is in
+/// doubt; well before the caller is told, who may then ask one of them.
+const DOUBT_NOTICE: Duration = Duration::from_millis(300);
+/// The least time in which the store can be asked; it answers in about 4 ms.
+const LEAST_TIME: Duration = Duration::from_millis(15);
+
+impl Front {
+    /// Accepts a job: it is stored before the caller is told so.
+    pub(super) async fn submit(&self, admitted: &Admitted, body: &[u8]) -> (Code, Reply) {
+        let job = match self.job(admitted, body) {
+            Ok(job) => job,
+            Err(detail) => {
+                self.shared
+                    .log
+                    .note(Event::JobRefused, admitted.rest.clone(), detail.clone());
+                return (Code::BadRequest, text_reply(400, detail));
+            }
+        };
+        let id = admitted.rest.clone();
+        let late = self.shared.clock.now() + LEAST_TIME > admitted.until;
+        if self.mirror.is_lost() || late {
+            return self.not_accepted(&id);
+        }
+        let record = Rc::new(Record::new(job));
+        let txn = Txn {
+            conditions: vec![(keys::job(&id), 0)],
+            puts: vec![(keys::job(&id), Bytes::from(record.encode()), 0)],
+            deletes: Vec::new(),
+        };
+        let began = self.shared.clock.now();
+        let mut doubt = false;
+        let mut refusals = 0;
+        loop {
+            let until = admitted.until.min(began + MAX_DOUBT);
+            let write = pin!(self.commit(txn.clone(), until));
+            let outcome = match select(write, pin!(sleep(DOUBT_NOTICE))).await {
+                Either::Left((outcome, _)) => outcome,
+                Either::Right((_, write)) => {
+                    self.note_doubt(&id);
+                    write.await
+                }
+            };
+            match outcome {
+                Ok(Outcome::Committed(revision)) => {
+                    self.accepted(admitted, &record, revision);
+                    let elapsed = self.shared.clock.now() - began;
+                    self.shared.metrics.step("accept", elapsed);
+                    return (Code::Done, json(Bytes::from_static(b"{}")));
+                }
+                Ok(Outcome::Conflict(items)) => return self.repeated(admitted, &record, &items),
+                Err(StoreError::Invalid(detail)) => {
+                    self.shared.log.note(Event::JobRefused, id.clone(), detail);
+                    return self.not_accepted(&id);
+                }
+                Ok(Outcome::NoLease) | Err(StoreError::Refused(_) | StoreError::Compacted) => {
+                    refusals += 1;
+                }
+                Err(StoreError::Unknown(_)) => {
+                    doubt = true;
+                    self.note_doubt(&id);
+                }
+            }
+            let out_of_time = self.shared.clock.now() + RETRY > until;
+            if out_of_time && doubt {
+                return (Code::AcceptUnknown, text_reply(504, ""));
+            }
+            if !doubt && (out_of_time || refusals >= MAX_REFUSALS) {
+                return self.not_accepted(&id);
+            }
+            sleep(RETRY).await;
+        }
+    }
+
+    /// Remembers that a job may yet be stored, and tells the other gateways once.
+    fn note_doubt(&self, id: &SmolStr) {
+        let now = self.shared.clock.now();
+        if !self.doubts.holds(id, now) {
+            self.doubts.note(id, now);
+            self.courier.tell_all(&News::Doubtful(id.clone()));
+        }
+    }
+
+    /// Answers that a job was not accepted, unless an earlier attempt may yet be stored.
+    fn not_accepted(&self, id: &str) -> (Code, Reply) {
+        if self.doubts.holds(id, self.shared.clock.now()) {
+            (Code::AcceptUnknown, text_reply(504, ""))
+        } else {
+            (Code::NotAccepted, come_back(503))
+        }
+    }
+
+    fn job(&self, admitted: &Admitted, body: &[u8]) -> Result<Job, String> {
+        let submission = (self.callers.job)(body)?;
+        let job = Job {
+            id: admitted.rest.clone(),
+            queue: admitted.queue.name.clone(),
+            service: admitted.queue.service.clone(),
+            account: admitted.account.clone(),
+            priority: admitted.queue.priority,
+            attempts: admitted.queue.attempts,
+            objective: admitted.queue.objective,
+            policy: admitted.queue.policy,
+            accepted: self.shared.clock.wall_ms(),
+            spec: submission.spec,
+            steps: submission.steps,
+            schedule: submission.schedule,
+        };
+        job.check().map(|()| job)
+    }
+
+    fn accepted(&self, admitted: &Admitted, record: &Rc<Record>, revision: u64) {
+        let id = &admitted.rest;
+        self.keep(id, record.clone(), revision);
+        let detail = format!(
+            "queue={} priority={} steps={} revision={revision} manifest={}",
+            admitted.queue.name,
+            admitted.queue.priority,
+            record.job.steps.len(),
+            admitted.version
+        );
+        let account = admitted.account.clone();
+        self.shared
+            .log
+            .note_for(Event::JobAccepted, id.clone(), account, detail);
+    }
+
+    /// Answers a job that is stored already.
+    fn repeated(&self, admitted: &Admitted, record: &Record, items: &[Item]) -> (Code, Reply) {
+        let held = items
+            .iter()
+            .find_map(|i| Some((i.value.as_ref()?, i.revision)));
+        let stored = held.and_then(|(v, r)| Some((Record::decode(v).ok()?, r)));
+        let same = stored.as_ref().is_some_and(|(held, _)| {
+            held.job.spec == record.job.spec && held.job.steps == record.job.steps
+        });
+        if !same {
+            return (Code::JobExists, text_reply(409, ""));
+        }
+        if let Some((held, revision)) = stored {
+            self.accepted(admitted, &Rc::new(held), revision);
+        }
+        (Code::Done, json(Bytes::from_static(b"{}")))
+    }
+}
