Kill the sidecar only once its answers have arrived; check the other case by rule

Trace: the sidecar was killed 5 ms after the orders left, when the worker had both tasks but the placer only one answer (E1615 answer=Refused(Boot) doubtful=true); the unanswered start was stopped (E1612), its end listed (E1611 end=Stopped), and only then started again. Change: the test waits until both answers were counted and keeps its check of one start a task. A new test kills the sidecar before that, and the worker stand-in checks each start by the rule: not while the task runs, not after it was done.

--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -170,6 +170,19 @@
         self.call(at, "GET", path, "").1
     }
 
+    /// Returns the value of the first metric whose line holds a text; 0 if none does.
+    fn metric(&self, at: usize, name: &str) -> f64 {
+        let addr = format!("{}:{}", ip(self.number, at), standin::METRICS_PORT);
+        let request = http::Request::get("/metrics").header("host", "x");
+        let request = request.body(Bytes::new()).expect("the request is valid");
+        let reply = self.send(addr.parse().expect("an address"), request);
+        let text = reply.map(|r| String::from_utf8_lossy(r.body()).into_owned());
+        let text = text.unwrap_or_default();
+        let line = text.lines().find(|l| l.contains(name));
+        let value = line.and_then(|l| l.rsplit(' ').next()?.parse().ok());
+        value.unwrap_or(0.0)
+    }
+
     fn wait(&self, what: &str, condition: impl Fn(&Self) -> bool) {
         let end = Instant::now() + PATIENCE;
         while !condition(self) {
@@ -277,6 +290,10 @@
     assert_eq!(fleet.call(0, "POST", JOB, &body).0, 200);
     fleet.wait("the tasks run", |f| f.starts().len() == 2);
 
+    fleet.wait("the placer has both answers", |f| {
+        f.metric(0, "step_seconds_count{kind=\"order_start\"") == 2.0
+    });
+
     fleet.kill(1);
     fleet.spawn(1);
 
@@ -290,6 +307,22 @@
     );
 }
 
+#[test]
+fn sidecar_killed_before_a_start_is_answered_runs_nothing_twice_at_once() {
+    let mut fleet = Fleet::start(1, 1);
+    let body = standin::job(&[(6, 1)], 1_000);
+    assert_eq!(fleet.call(0, "POST", JOB, &body).0, 200);
+    fleet.wait("a task runs", |f| !f.starts().is_empty());
+
+    fleet.kill(1);
+    fleet.spawn(1);
+
+    fleet.wait("the job completes", |f| {
+        f.state(0, JOB).contains("completed")
+    });
+    assert!(fleet.workers[0].doubled().is_empty());
+}
+
 #[test]
 fn store_down_refuses_new_jobs_at_once_and_keeps_what_runs() {
     let fleet = Fleet::start(2, 1);
