Let gateways close their connections to a stopping sidecar

Cause: at a planned stop a sidecar exited once no request was in flight. A gateway that had not heard of the stop yet could send a request in that moment.

Change: a process that stops says so on each connection. Its peer then sends nothing more on it and closes it after the last answer; the sidecar exits when no connection is left, after 2 s at most.

--- a/crates/adapters/schema/node.capnp
+++ b/crates/adapters/schema/node.capnp
@@ -46,4 +46,7 @@
   forward @0 (request :ForwardRequest) -> (reply :ForwardReply);
   config @1 (above :UInt64) -> (reply :ConfigReply);
   # Returns the configuration if its generation is higher than `above`.
+  leaving @2 () -> ();
+  # Returns once the process begins a planned stop. The caller then sends no further call on
+  # the connection, and closes it after the last answer.
 }
--- a/crates/adapters/src/node_capnp.rs
+++ b/crates/adapters/src/node_capnp.rs
@@ -1532,6 +1532,8 @@
     pub type ForwardResults<> = ::capnp::capability::Results<crate::node_capnp::node::forward_results::Owned>;
     pub type ConfigParams<> = ::capnp::capability::Params<crate::node_capnp::node::config_params::Owned>;
     pub type ConfigResults<> = ::capnp::capability::Results<crate::node_capnp::node::config_results::Owned>;
+    pub type LeavingParams<> = ::capnp::capability::Params<crate::node_capnp::node::leaving_params::Owned>;
+    pub type LeavingResults<> = ::capnp::capability::Results<crate::node_capnp::node::leaving_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -1587,10 +1589,14 @@
         pub fn config_request(&self) -> ::capnp::capability::Request<crate::node_capnp::node::config_params::Owned,crate::node_capnp::node::config_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
         }
+        pub fn leaving_request(&self) -> ::capnp::capability::Request<crate::node_capnp::node::leaving_params::Owned,crate::node_capnp::node::leaving_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn forward(self: ::capnp::capability::Rc<Self>, _: ForwardParams<>, _: ForwardResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::forward not implemented".to_string()))) }
         fn config(self: ::capnp::capability::Rc<Self>, _: ConfigParams<>, _: ConfigResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::config not implemented".to_string()))) }
+        fn leaving(self: ::capnp::capability::Rc<Self>, _: LeavingParams<>, _: LeavingResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method node::Server::leaving not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -1622,6 +1628,7 @@
             match method_id {
                 0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::forward(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::config(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::leaving(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -2454,4 +2461,332 @@
             pub(crate) const TYPE_ID: u64 = 0xf1c2_07b4_b494_487f;
         }
     }
+
+    pub mod leaving_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(92, 235, 64, 193, 99, 247, 165, 198),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 78, 111, 100, 101, 46),
+                ::capnp::word(108, 101, 97, 118, 105, 110, 103, 36),
+                ::capnp::word(80, 97, 114, 97, 109, 115, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xc6a5_f763_c140_eb5c;
+        }
+    }
+
+    pub mod leaving_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 16] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(130, 247, 8, 97, 197, 102, 165, 252),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(110, 111, 100, 101, 46, 99, 97, 112),
+                ::capnp::word(110, 112, 58, 78, 111, 100, 101, 46),
+                ::capnp::word(108, 101, 97, 118, 105, 110, 103, 36),
+                ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xfca5_66c5_6108_f782;
+        }
+    }
 }
--- a/crates/adapters/src/rpc/mod.rs
+++ b/crates/adapters/src/rpc/mod.rs
@@ -6,6 +6,7 @@
 pub use client::RpcClient;
 pub use client::RpcError;
 pub use server::Handlers;
+pub use server::Shutdown;
 pub use server::serve;
 
 use bytes::Bytes;
--- a/crates/adapters/src/rpc/server.rs
+++ b/crates/adapters/src/rpc/server.rs
@@ -17,6 +17,7 @@
 use futures_util::future::LocalBoxFuture;
 use futures_util::future::select;
 use smol_str::SmolStr;
+use std::cell::Cell;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,14 +45,35 @@
     options
 }
 
-/// Accepts connections of peers until `stop` is raised, and serves their calls.
-pub async fn serve(listener: TcpListener, handlers: Handlers, stop: Flag) {
+/// The stop of a server in two phases, so that no call is cut off.
+///
+/// The process that holds it raises [`leaving`](Self::leaving) when a planned stop begins,
+/// waits until [`is_unused`](Self::is_unused), and then raises [`closed`](Self::closed).
+#[derive(Clone, Default)]
+pub struct Shutdown {
+    /// Asks all peers to send no further calls and to close their connections.
+    pub leaving: Flag,
+    /// Ends the server, which accepts no connections from then on.
+    pub closed: Flag,
+    connections: Rc<Cell<usize>>,
+}
+
+impl Shutdown {
+    /// Returns whether no peer has a connection to the server.
+    pub fn is_unused(&self) -> bool {
+        self.connections.get() == 0
+    }
+}
+
+/// Accepts connections of peers until the server is closed, and serves their calls.
+pub async fn serve(listener: TcpListener, handlers: Handlers, shutdown: Shutdown) {
     loop {
         let accept = pin!(listener.accept());
-        let stopped = pin!(stop.wait());
-        match select(accept, stopped).await {
+        let closed = pin!(shutdown.closed.wait());
+        match select(accept, closed).await {
             Either::Left((Ok((stream, _)), _)) => {
-                compio::runtime::spawn(serve_peer(stream, handlers.clone())).detach();
+                let peer = serve_peer(stream, handlers.clone(), shutdown.clone());
+                compio::runtime::spawn(peer).detach();
             }
             Either::Left((Err(_), _)) => compio::time::sleep(Duration::from_millis(10)).await,
             Either::Right(_) => return,
@@ -59,17 +81,24 @@
     }
 }
 
-async fn serve_peer(stream: TcpStream, handlers: Handlers) {
+async fn serve_peer(stream: TcpStream, handlers: Handlers, shutdown: Shutdown) {
+    let connections = shutdown.connections.clone();
+    connections.set(connections.get() + 1);
     let _ = stream.set_nodelay(true);
     let (reader, writer) = AsyncStream::new(stream).split();
     let network = VatNetwork::new(reader, writer, Side::Server, reader_options());
-    let client: node::Client = capnp_rpc::new_client(NodeServer { handlers });
+    let client: node::Client = capnp_rpc::new_client(NodeServer {
+        handlers,
+        leaving: shutdown.leaving,
+    });
     let system = RpcSystem::new(Box::new(network), Some(client.client));
     let _ = system.await;
+    connections.set(connections.get() - 1);
 }
 
 struct NodeServer {
     handlers: Handlers,
+    leaving: Flag,
 }
 
 impl node::Server for NodeServer {
@@ -110,6 +139,15 @@
         }
         Ok(())
     }
+
+    async fn leaving(
+        self: Rc<Self>,
+        _params: node::LeavingParams,
+        _results: node::LeavingResults,
+    ) -> Result<(), capnp::Error> {
+        self.leaving.wait().await;
+        Ok(())
+    }
 }
 
 fn text(reader: capnp::text::Reader<'_>) -> Result<SmolStr, capnp::Error> {
--- a/crates/roles/src/fleet/gateway.rs
+++ b/crates/roles/src/fleet/gateway.rs
@@ -177,7 +177,7 @@
         }),
         config: Rc::new(move |above| cache.manifest_above(above)),
     };
-    rpc::serve(listener, handlers, Flag::default()).await;
+    rpc::serve(listener, handlers, rpc::Shutdown::default()).await;
 }
 
 /// Serves readiness checks. The gateway is ready while its cache is up to date, it has a
--- a/crates/roles/src/fleet/sidecar.rs
+++ b/crates/roles/src/fleet/sidecar.rs
@@ -212,7 +212,7 @@
             forward: Rc::new(move |request| Box::pin(sidecar.clone().handle_request(request))),
             config: Rc::new(|_| None),
         };
-        rpc::serve(listener, handlers, Flag::default()).await;
+        rpc::serve(listener, handlers, rpc::Shutdown::default()).await;
     }
 
     async fn handle_request(self: Rc<Self>, request: ForwardRequest) -> ForwardReply {
--- a/crates/roles/src/gateway/mod.rs
+++ b/crates/roles/src/gateway/mod.rs
@@ -17,6 +17,7 @@
 use hibiscusbarrow_adapters::rpc;
 use hibiscusbarrow_adapters::rpc::ForwardReply;
 use hibiscusbarrow_adapters::rpc::Handlers;
+use hibiscusbarrow_adapters::rpc::Shutdown;
 use hibiscusbarrow_adapters::signal::Flag;
 use hibiscusbarrow_coordination::membership::Role;
 use hibiscusbarrow_model::code::Code;
@@ -55,8 +56,8 @@
         placer: Placer::start(node.clone()),
         node: node.clone(),
     };
-    let closed = Flag::default();
-    compio::runtime::spawn(rpc::serve(peers, peer_handlers(&node), closed.clone())).detach();
+    let shutdown = Shutdown::default();
+    compio::runtime::spawn(rpc::serve(peers, peer_handlers(&node), shutdown.clone())).detach();
     compio::runtime::spawn(node.clone().follow_config()).detach();
     compio::runtime::spawn(announce_drain(node.clone())).detach();
     node.log_start();
@@ -70,7 +71,7 @@
     serve_http(http, limits, stop, handler).await;
     placer.resign().await;
     node.announce_left().await;
-    closed.raise();
+    shutdown.closed.raise();
     node.log
         .emit(Event::Stopped, node.settings.name.clone(), "");
     Ok(())
--- a/crates/roles/src/sidecar/mod.rs
+++ b/crates/roles/src/sidecar/mod.rs
@@ -14,6 +14,7 @@
 use hibiscusbarrow_adapters::http::text_reply;
 use hibiscusbarrow_adapters::rpc;
 use hibiscusbarrow_adapters::rpc::Handlers;
+use hibiscusbarrow_adapters::rpc::Shutdown;
 use hibiscusbarrow_adapters::signal::Flag;
 use hibiscusbarrow_coordination::membership::Role;
 use hibiscusbarrow_model::code::Code;
@@ -29,6 +30,9 @@
 
 /// How often a stopping sidecar checks whether its requests in flight have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// The longest wait for peers to close their connections; one that is frozen or cut off
+/// never does.
+const PEER_CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Runs a sidecar until `stop` is raised and either its requests in flight have ended or
 /// the drain timeout has passed.
@@ -41,9 +45,10 @@
     let peers = TcpListener::bind(settings.peer).await?;
     let node = Node::start(settings, Role::Sidecar, logger, stop.clone()).await?;
     let forwarder = Rc::new(Forwarder::new(node.clone()));
-    let closed = Flag::default();
+    let shutdown = Shutdown::default();
+    let closed = shutdown.closed.clone();
     let peer_handlers = peer_handlers(&node, &forwarder);
-    compio::runtime::spawn(rpc::serve(peers, peer_handlers, closed.clone())).detach();
+    compio::runtime::spawn(rpc::serve(peers, peer_handlers, shutdown.clone())).detach();
     let handler = {
         let (node, forwarder) = (node.clone(), forwarder.clone());
         move |request| handle_request(node.clone(), forwarder.clone(), request)
@@ -52,19 +57,28 @@
     compio::runtime::spawn(forwarder.clone().expire_upstream()).detach();
     node.log_start();
     stop.wait().await;
-    drain(&node, &forwarder).await;
+    drain(&node, &forwarder, &shutdown).await;
     closed.raise();
     Ok(())
 }
 
-async fn drain(node: &Node, forwarder: &Forwarder) {
+/// Finishes the requests in flight, and waits until all peers have closed their connections.
+///
+/// A connection that the sidecar closed itself could cut off a call that it has not read yet,
+/// and the peer could not tell that the call never ran.
+async fn drain(node: &Node, forwarder: &Forwarder, shutdown: &Shutdown) {
     node.log
         .emit(Event::DrainBegan, node.settings.name.clone(), "");
     node.announce_leaving();
     forwarder.begin_drain();
+    shutdown.leaving.raise();
     while !forwarder.may_stop() {
         compio::time::sleep(DRAIN_POLL_INTERVAL).await;
     }
+    let closing_at = node.clock.now();
+    while !shutdown.is_unused() && node.clock.now() < closing_at + PEER_CLOSE_TIMEOUT {
+        compio::time::sleep(DRAIN_POLL_INTERVAL).await;
+    }
     node.announce_left().await;
     compio::time::sleep(DRAIN_POLL_INTERVAL).await;
     node.log
