Keep the claim of a gang when its predecessor is released late

Cause: a worker that goes out of service loses its claims, but its gangs keep their cells until they have stopped. If the worker had returned and another gang had claimed the cells by then, the late release of the first gang cleared the claim of the second.

Change: a gang remembers the cells that it claims, apart from those that it holds; a worker that goes out of service takes its claims with it.

Measured: late_release_of_a_lost_gang_keeps_the_claim_of_its_successor fails before (claimed mask 0 instead of 255) and passes now; the 27 tests of the crate pass.

--- a/crates/placement/src/scheduler/mod.rs
+++ b/crates/placement/src/scheduler/mod.rs
@@ -131,6 +131,9 @@
     pub claimed_at: Duration,
     /// When the gang was last started.
     pub started_at: Duration,
+    /// The cells that the job claims under the guarantee. A worker that goes out of service
+    /// takes its claims with it, although the gang may hold the cells for longer.
+    claims: Vec<Cell>,
     /// Workers on which the job failed.
     failed_workers: BTreeSet<WorkerKey>,
     /// Whether the job is queued again once its cells are released.
@@ -160,6 +163,7 @@
             submitted_at: Duration::ZERO,
             claimed_at: Duration::ZERO,
             started_at: Duration::ZERO,
+            claims: Vec::new(),
             failed_workers: BTreeSet::new(),
             requeue: false,
             account_index: 0,
@@ -321,6 +325,9 @@
     pub fn fail_worker(&mut self, key: WorkerKey) {
         self.quotas.drop_worker(key);
         self.grid.set_up(key, false);
+        for job in self.jobs.iter_mut().flatten() {
+            job.claims.retain(|c| c.worker != key);
+        }
         let lost: Vec<JobKey> = self
             .jobs()
             .filter(|(_, job)| job.cells.iter().any(|c| c.worker == key))
@@ -368,6 +375,9 @@
         let (index, cells) = (job.account_index, job.cells.clone());
         let guaranteed = self.quotas.adopt(&mut self.grid, index, &cells);
         job.guaranteed = guaranteed;
+        if guaranteed {
+            job.claims = cells.clone();
+        }
         job.state = JobState::Placed;
         job.started_at = now;
         self.usage[index] += job.accelerators();
@@ -528,8 +538,8 @@
             return;
         }
         job.guaranteed = false;
-        let (index, cells) = (job.account_index, job.cells.clone());
-        self.quotas.release(&mut self.grid, index, &cells);
+        let (index, claims) = (job.account_index, std::mem::take(&mut job.claims));
+        self.quotas.release(&mut self.grid, index, &claims);
     }
 
     fn remove_job(&mut self, key: JobKey) {
--- a/crates/placement/src/scheduler/pass.rs
+++ b/crates/placement/src/scheduler/pass.rs
@@ -142,6 +142,7 @@
         job.state = JobState::Claimed;
         job.guaranteed = true;
         job.claimed_at = now;
+        job.claims = cells.clone();
         job.cells = cells;
         let (index, size) = (job.account_index, job.accelerators());
         self.usage[index] += size;
--- a/crates/placement/tests/suite/reclaim.rs
+++ b/crates/placement/tests/suite/reclaim.rs
@@ -5,6 +5,39 @@
 use proptest::prelude::*;
 use std::collections::BTreeMap;
 
+/// A worker fails and returns before the gang on it has stopped, and another gang claims the
+/// cell in the meantime. The late end of the first gang must not release that claim.
+#[test]
+fn late_release_of_a_lost_gang_keeps_the_claim_of_its_successor() {
+    let accounts = vec![
+        account("a", &[(Shape::Worker, 1)]),
+        account("b", &[(Shape::Worker, 1)]),
+    ];
+    let policy = Policy {
+        borrow_first: false,
+        ..guarantees_only()
+    };
+    let mut scheduler = scheduler(&[8, 8], accounts, policy);
+    let first = scheduler.submit(Job::new("first", "a", Shape::Worker, 1), at(0));
+    run_passes(&mut scheduler, at(0));
+    let worker = scheduler.job(first).expect("it runs").cells[0].worker;
+    scheduler.fail_worker(worker);
+    let _stops = scheduler.pass(at(1));
+    let spec = scheduler.grid().spec(worker).clone();
+    scheduler.add_worker(spec);
+    for name in ["second", "third"] {
+        let account = if name == "second" { "a" } else { "b" };
+        scheduler.submit(Job::new(name, account, Shape::Worker, 1), at(2));
+    }
+    scheduler.pass(at(2));
+    let claimed = scheduler.grid().claimed_mask(worker);
+
+    scheduler.released(first);
+
+    assert_eq!(claimed, 0xff, "no gang claims the returned worker");
+    assert_eq!(scheduler.grid().claimed_mask(worker), claimed);
+}
+
 /// One operation of a random history.
 #[derive(Clone, Debug)]
 enum Step {
