Keep a relayed write unconfirmed when the store then refuses it

Cause: after a failure of the direct path a gateway asks its peers first. If a peer made the call and got no answer, the gateway called the store itself and reported only that outcome: a refusal became "not accepted" although the write of the peer might still take effect. The reverse also happened: a peer that could not be reached at all left a refused write unconfirmed, so that its caller got 504 instead of 503.

Change: the less certain of the two failures is reported, and a call that was never sent to a peer counts as refused.

--- a/crates/roles/src/fleet/relay.rs
+++ b/crates/roles/src/fleet/relay.rs
@@ -20,6 +20,7 @@
 use hibiscusbarrow_adapters::rpc::ForwardReply;
 use hibiscusbarrow_adapters::rpc::ForwardRequest;
 use hibiscusbarrow_adapters::rpc::RpcClient;
+use hibiscusbarrow_adapters::rpc::RpcError;
 use hibiscusbarrow_coordination::clock::Clock;
 use hibiscusbarrow_model::code::Code;
 use hibiscusbarrow_model::event::Event;
@@ -227,7 +228,10 @@
             } else {
                 match self.call_peers(&call).await {
                     Err(StoreError::Compacted) => Err(StoreError::Compacted),
-                    Err(_) => call_store(&self.store, call).await,
+                    // A refusal by the store does not settle an unconfirmed call of a peer.
+                    Err(failure) => call_store(&self.store, call)
+                        .await
+                        .map_err(|e| less_certain(failure, e)),
                     response => response,
                 }
             };
@@ -304,7 +308,11 @@
                 Err(e) => {
                     self.rpc.disconnect(peer);
                     self.failed_at.borrow_mut().insert(peer, self.clock.now());
-                    StoreError::Unknown(e.to_string())
+                    let detail = e.to_string();
+                    match e {
+                        RpcError::NotSent(_) => less_certain(failure, StoreError::Refused(detail)),
+                        RpcError::Unanswered(_) => StoreError::Unknown(detail),
+                    }
                 }
             };
         }
