Wait in the fleet tests until gateways know each other and the placer

Cause: the tests of a watch without events and of an unconfirmed write took a ready gateway for one that knows its peers.

Change: two gauges tell how many gateways a gateway knows and the epoch of the placer that it knows; a test fleet has started once all gateways know all others and the placer.

--- a/crates/roles/src/fleet/cache.rs
+++ b/crates/roles/src/fleet/cache.rs
@@ -220,6 +220,8 @@
             }
             Key::Gateway(name) => {
                 self.apply_addr(shared, &self.gateways, &name, &item);
+                let known = self.gateways.borrow().len() as u64;
+                shared.metrics.set_gauge("gateways_known", known);
             }
             Key::Placer => {
                 let holder = item.value.as_ref().map(|v| {
@@ -227,6 +229,8 @@
                     let name = text.split(' ').next().unwrap_or("");
                     (SmolStr::from(name), item.revision)
                 });
+                let epoch = holder.as_ref().map_or(0, |(_, epoch)| *epoch);
+                shared.metrics.set_gauge("known_epoch", epoch);
                 *self.placer.borrow_mut() = holder;
                 self.publish(&Change::Placer);
             }
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -46,8 +46,8 @@
 }
 
 impl Fleet {
-    /// Starts the processes and waits until a gateway is ready and every worker's state is
-    /// in the store.
+    /// Starts the processes and waits until every gateway is ready and knows the others and the
+    /// placer, and every sidecar has registered.
     fn start(gateways: usize, sidecars: usize) -> Self {
         let number = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
         let unique = format!("fleet-{}-{number}", std::process::id());
@@ -76,8 +76,10 @@
             fleet.workers.push(worker);
             fleet.spawn(index);
         }
-        fleet.wait_for("a gateway to be ready", |f| f.is_ready(0));
-        fleet.wait_for("every worker to be polled", |f| {
+        fleet.wait_for("the gateways to know each other and the placer", |f| {
+            (0..gateways).all(|g| f.is_ready(g) && f.knows_the_others(g))
+        });
+        fleet.wait_for("every sidecar to register", |f| {
             f.store.read("hibiscusbarrow/worker/").len() == sidecars
         });
         fleet
@@ -138,6 +140,12 @@
         self.send(addr, request).is_some_and(|r| r.status() == 200)
     }
 
+    /// Returns whether a gateway knows the addresses of all gateways, and the placer.
+    fn knows_the_others(&self, index: usize) -> bool {
+        self.metric(index, "\"gateways_known\"") == self.gateways as f64
+            && self.metric(index, "\"known_epoch\"") > 0.0
+    }
+
     /// Sends a request; returns `None` if no response arrives within 5 seconds.
     fn send(
         &self,
@@ -383,9 +391,6 @@
 #[test]
 fn gateway_without_a_store_connection_serves_through_another() {
     let fleet = Fleet::start(2, 1);
-    fleet.wait_for("both gateways to be ready", |f| {
-        f.is_ready(0) && f.is_ready(1)
-    });
     let body = standin::job(&[(1, 1)], 100);
 
     fleet.store.endpoints[0].1.store(true, Ordering::Relaxed);
@@ -430,9 +435,6 @@
 #[test]
 fn planned_stop_of_the_placer_hands_over_and_interrupts_no_task() {
     let mut fleet = Fleet::start(2, 1);
-    fleet.wait_for("both gateways to be ready", |f| {
-        f.is_ready(0) && f.is_ready(1)
-    });
     let body = standin::job(&[(2, 1)], 2_000);
     assert_eq!(fleet.call(0, "POST", JOB_PATH, &body).0, 200);
     fleet.wait_for("the tasks to run", |f| f.start_counts().len() == 2);
@@ -487,12 +489,6 @@
 #[test]
 fn placer_receives_jobs_while_its_watch_delivers_no_events() {
     let fleet = Fleet::start(2, 1);
-    fleet.wait_for("both gateways to be ready", |f| {
-        f.is_ready(0) && f.is_ready(1)
-    });
-    fleet.wait_for("a gateway to hold the placer lease", |f| {
-        !f.store.read("hibiscusbarrow/placer").is_empty()
-    });
     let body = standin::job(&[(1, 1)], 200);
     let other = 1 - fleet.placer();
 
@@ -543,9 +539,6 @@
 #[test]
 fn job_with_an_unconfirmed_write_is_never_reported_as_not_run() {
     let fleet = Fleet::start(2, 1);
-    fleet.wait_for("both gateways to be ready", |f| {
-        f.is_ready(0) && f.is_ready(1)
-    });
     let body = standin::job(&[(1, 1)], 100);
     fleet.store.set_unresponsive(true);
 
