Follow all records on the standbys only, and place on a large gateway

When the placer's lease was free, all gateways claimed it at once, and a small one often got it.

Change: gateways register their capacity and failure domain. An order of succession (large first, failure domains in turn) follows from that. The first three gateways follow all records and try to become the placer first; the others follow the manifest, the gateways and the placer, ask the placer or a standby for the state of a job, and claim a free lease later, one after the other. A placer that is no standby hands over once a standby is ready. A placer that hands over waits for the answers to its orders and writes. It plans only while it holds the lease. A gateway with an outdated cache asks three peers at a time for the manifest, not all. After a compaction the keys are listed again after a delay, so that 55 gateways do not list together.

The 15 process tests of the fleet and three tests of the order pass.

--- a/crates/coordination/tests/suite/main.rs
+++ b/crates/coordination/tests/suite/main.rs
@@ -6,3 +6,4 @@
 mod keyed;
 mod membership;
 mod parts;
+mod succession;
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -68,7 +68,7 @@
 }
 
 /// The states of a job that callers see.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum State {
     /// No task has started.
     Queued,
@@ -82,6 +82,14 @@
     Cancelled,
 }
 
+impl State {
+    /// Returns whether a job in this state stays in it. The tasks of a cancelled job may still
+    /// turn out to be done.
+    pub fn is_final(self) -> bool {
+        matches!(self, Self::Completed | Self::Failed)
+    }
+}
+
 impl Record {
     /// Creates the record of a newly accepted job.
     pub fn new(job: Job) -> Self {
--- a/crates/roles/src/fleet/cache.rs
+++ b/crates/roles/src/fleet/cache.rs
@@ -1,27 +1,47 @@
-//! A local cache of the store's content, kept current by one watch.
+//! A local cache of the store's content, kept current by watches.
+//!
+//! Every gateway follows the directory: the manifest, the registered gateways and the placer.
+//! Only the standbys and the placer follow everything, job records included, as each of them
+//! receives every change of every record. The other gateways ask them for the state of a job.
 
 use super::Shared;
 use super::keys;
 use super::keys::Key;
 use super::port::Item;
+use super::port::Settings;
 use super::port::StoreError;
+use super::registration::GatewayEntry;
 use bytes::Bytes;
 use compio::time::sleep;
 use futures_channel::mpsc;
 use hibiscusbarrow_adapters::rpc::RpcClient;
+use hibiscusbarrow_coordination::succession;
+use hibiscusbarrow_coordination::succession::Candidate;
+use hibiscusbarrow_coordination::succession::STANDBYS;
 use hibiscusbarrow_fleet::manifest::Manifest;
 use hibiscusbarrow_fleet::record::Record;
+use hibiscusbarrow_fleet::record::State;
 use hibiscusbarrow_model::event::Event;
+use rand::seq::SliceRandom;
 use smol_str::SmolStr;
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// How long a watch waits for a change.
 const WATCH_WAIT: Duration = Duration::from_millis(1_200);
+/// The pause between two watches of everything, which collects the changes of that time in one
+/// answer. Gateways notify the placer of new jobs without the watch.
+const WATCH_PAUSE: Duration = Duration::from_millis(20);
+/// How often a feed that is not followed checks whether it should be.
+const IDLE_INTERVAL: Duration = Duration::from_millis(100);
+/// The mean delay before keys are listed again because the store has dropped its history. It
+/// spreads the listings of many gateways, and limits them while the store keeps no history.
+const RESYNC_DELAY: Duration = Duration::from_millis(250);
 /// The delay after a failed call to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// The time between two probes of a store that does not answer.
@@ -30,6 +50,10 @@
 const MAX_AGE: Duration = Duration::from_millis(2_200);
 /// The time between two requests to peers for a newer manifest.
 const PEER_INTERVAL: Duration = Duration::from_millis(400);
+/// The number of peers that are asked in one round.
+const PEERS_PER_ROUND: usize = 3;
+/// The most ended jobs whose states a gateway keeps without their records.
+const MAX_ENDED_STATES: usize = 16_384;
 /// The time that a peer may take to answer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -57,35 +81,94 @@
     pub revision: u64,
 }
 
+/// The keys with one prefix, as far as they are followed.
+struct Feed {
+    prefix: SmolStr,
+    /// The revision of the store that the cache includes for these keys.
+    revision: Cell<u64>,
+    /// Whether the keys were listed completely, so that a watch can continue from that listing.
+    synced: Cell<bool>,
+    /// When the last successful call that updates the cache was sent.
+    confirmed_at: Cell<Option<Duration>>,
+}
+
+impl Feed {
+    fn new(prefix: impl Into<SmolStr>) -> Rc<Self> {
+        Rc::new(Self {
+            prefix: prefix.into(),
+            revision: Cell::new(0),
+            synced: Cell::new(false),
+            confirmed_at: Cell::new(None),
+        })
+    }
+
+    fn is_fresh(&self, now: Duration) -> bool {
+        self.synced.get() && self.confirmed_at.get().is_some_and(|at| now < at + MAX_AGE)
+    }
+}
+
 /// The cache of the store's content in one gateway.
-#[derive(Default)]
 pub struct StoreCache {
-    /// The records of jobs.
+    /// The name of this gateway.
+    name: SmolStr,
+    /// The registration of this gateway.
+    own: GatewayEntry,
+    /// The records of jobs, if this gateway follows them.
     pub jobs: RefCell<HashMap<SmolStr, StoredJob>>,
-    /// The addresses of sidecars.
+    /// The states of ended jobs whose records are not cached, and when they became known.
+    ended: RefCell<HashMap<SmolStr, (State, Duration)>>,
+    /// The addresses of sidecars, if this gateway follows the records.
     pub workers: RefCell<HashMap<SmolStr, SocketAddr>>,
-    /// The addresses of gateways.
-    pub gateways: RefCell<HashMap<SmolStr, SocketAddr>>,
+    /// The registrations of gateways.
+    gateways: RefCell<HashMap<SmolStr, GatewayEntry>>,
     /// The holder of the placer's lease and the revision of its claim.
     pub placer: RefCell<Option<(SmolStr, u64)>>,
+    /// The names of all gateways in the order in which they become placer.
+    succession: RefCell<Vec<SmolStr>>,
+    /// Whether this gateway holds the placer's lease.
+    placing: Cell<bool>,
+    /// The feed of all keys.
+    everything: Rc<Feed>,
+    /// The feeds of the directory.
+    directory: [Rc<Feed>; 3],
     manifest: RefCell<Option<Rc<Manifest>>>,
     /// The manifest as stored.
     raw_manifest: RefCell<Bytes>,
     /// The newest known revision of each key.
     revisions: RefCell<HashMap<SmolStr, u64>>,
-    /// The revision of the store that the cache includes.
-    revision: Cell<u64>,
-    /// Whether the store was listed completely, so that a watch can continue from that
-    /// listing.
-    synced: Cell<bool>,
-    /// When the last successful call that updates the cache was sent.
-    confirmed_at: Cell<Option<Duration>>,
     /// Whether the last call to the store failed.
     store_down: Cell<bool>,
     subscribers: RefCell<Vec<mpsc::UnboundedSender<Change>>>,
 }
 
 impl StoreCache {
+    /// Creates an empty cache of the gateway with these settings.
+    pub fn new(settings: &Settings, manifest_key: SmolStr) -> Self {
+        Self {
+            name: settings.name.clone(),
+            own: GatewayEntry::own(settings),
+            jobs: RefCell::default(),
+            ended: RefCell::default(),
+            workers: RefCell::default(),
+            gateways: RefCell::default(),
+            placer: RefCell::default(),
+            succession: RefCell::new(vec![settings.name.clone()]),
+            placing: Cell::new(false),
+            everything: Feed::new(""),
+            directory: [
+                manifest_key,
+                keys::GATEWAY_PREFIX.into(),
+                keys::PLACER_KEY.into(),
+            ]
+            .map(Feed::new),
+            manifest: RefCell::default(),
+            raw_manifest: RefCell::default(),
+            revisions: RefCell::default(),
+            store_down: Cell::new(false),
+            subscribers: RefCell::default(),
+        }
+    }
+
     /// Returns the current manifest.
     pub fn manifest(&self) -> Option<Rc<Manifest>> {
         self.manifest.borrow().clone()
@@ -97,14 +180,88 @@
         (current > version).then(|| (current, self.raw_manifest.borrow().clone()))
     }
 
-    /// Returns the newest revision of the store that the cache includes.
-    pub fn revision(&self) -> u64 {
-        self.revision.get()
+    /// Returns whether the cache includes all records up to a revision of the store.
+    pub fn includes_records(&self, revision: u64) -> bool {
+        self.everything.synced.get() && self.everything.revision.get() >= revision
+    }
+
+    /// Returns whether this gateway caches all records, although they may be out of date.
+    pub fn has_records(&self) -> bool {
+        self.follows_records() && self.everything.synced.get()
+    }
+
+    /// Returns whether all records are cached and were updated within [`MAX_AGE`].
+    pub fn has_fresh_records(&self, now: Duration) -> bool {
+        self.follows_records() && self.everything.is_fresh(now)
     }
 
-    /// Returns whether the cache was updated or confirmed within [`MAX_AGE`].
+    /// Returns whether the manifest, the gateways and the placer were updated or confirmed
+    /// within [`MAX_AGE`].
     pub fn is_fresh(&self, now: Duration) -> bool {
-        self.synced.get() && self.confirmed_at.get().is_some_and(|at| now < at + MAX_AGE)
+        self.has_fresh_records(now) || self.directory.iter().all(|f| f.is_fresh(now))
+    }
+
+    /// Returns whether this gateway is the placer or a standby, which follow all records.
+    fn follows_records(&self) -> bool {
+        self.placing.get() || self.rank().is_some_and(|r| r < STANDBYS)
+    }
+
+    /// Records whether this gateway holds the placer's lease.
+    pub fn set_placing(&self, placing: bool) {
+        self.placing.set(placing);
+        self.release_records();
+    }
+
+    /// Returns the position of this gateway in the order of succession; none before the
+    /// registered gateways are known.
+    pub fn rank(&self) -> Option<usize> {
+        if !self.directory[1].synced.get() && !self.everything.synced.get() {
+            return None;
+        }
+        let order = self.succession.borrow();
+        order.iter().position(|n| *n == self.name)
+    }
+
+    /// Returns the addresses of the other standbys, in the order of succession.
+    pub fn standby_addrs(&self) -> Vec<SocketAddr> {
+        let (order, gateways) = (self.succession.borrow(), self.gateways.borrow());
+        let standbys = order.iter().take(STANDBYS).filter(|n| **n != self.name);
+        standbys
+            .filter_map(|n| gateways.get(n).map(|g| g.addr))
+            .collect()
+    }
+
+    /// Returns the addresses of all other gateways.
+    pub fn peer_addrs(&self) -> Vec<SocketAddr> {
+        let gateways = self.gateways.borrow();
+        let others = gateways.iter().filter(|(n, _)| **n != self.name);
+        others.map(|(_, g)| g.addr).collect()
+    }
+
+    /// Returns the address of the placer, unless this gateway is the placer.
+    pub fn placer_addr(&self) -> Option<SocketAddr> {
+        let (name, _) = self.placer.borrow().clone()?;
+        let gateways = self.gateways.borrow();
+        let entry = gateways.get(&name).filter(|_| name != self.name)?;
+        Some(entry.addr)
+    }
+
+    /// Returns the state of an ended job whose record is not cached.
+    pub fn ended_state(&self, id: &str) -> Option<State> {
+        self.ended.borrow().get(id).map(|(state, _)| *state)
+    }
+
+    /// Keeps the state of an ended job for as long as it must stay available.
+    pub fn put_ended(&self, shared: &Shared, id: &SmolStr, state: State) {
+        let now = shared.clock.now();
+        let mut ended = self.ended.borrow_mut();
+        if ended.len() >= MAX_ENDED_STATES {
+            let retention = shared.settings.bounds.status_retention;
+            ended.retain(|_, (_, at)| now < *at + retention);
+        }
+        if ended.len() < MAX_ENDED_STATES {
+            ended.insert(id.clone(), (state, now));
+        }
     }
 
     /// Returns whether the last call to the store failed and no probe has succeeded since.
@@ -132,7 +289,7 @@
             let detail = format!(
                 "after={:?} at={}",
                 shared.clock.now() - since,
-                cache.revision()
+                cache.everything.revision.get()
             );
             shared.log.emit(Event::StoreBack, "store", detail);
         })
@@ -152,8 +309,14 @@
     }
 
     /// Adds a record that this process has just read or written, unless a newer one is
-    /// cached.
-    pub fn put_job(&self, id: &SmolStr, record: Rc<Record>, revision: u64) {
+    /// cached. Without the other records only the state of an ended job is kept.
+    pub fn put_job(&self, shared: &Shared, id: &SmolStr, record: Rc<Record>, revision: u64) {
+        if !self.follows_records() {
+            if record.state().is_final() {
+                self.put_ended(shared, id, record.state());
+            }
+            return;
+        }
         let mut jobs = self.jobs.borrow_mut();
         if jobs.get(id).is_some_and(|s| s.revision >= revision) {
             return;
@@ -198,6 +361,10 @@
 
     /// Applies an item unless the same or a newer revision of its key is known.
     pub fn apply(&self, shared: &Shared, item: Item) {
+        let key = keys::parse(&item.key);
+        if matches!(key, Key::Job(_) | Key::Worker(_)) && !self.follows_records() {
+            return;
+        }
         let known = self.revisions.borrow().get(&item.key).copied().unwrap_or(0);
         if item.revision <= known {
             return;
@@ -211,18 +378,10 @@
             }
             return;
         }
-        match keys::parse(&item.key) {
+        match key {
             Key::Job(id) => self.apply_job(shared, id, &item),
-            Key::Worker(name) => {
-                if let Some(addr) = self.apply_addr(shared, &self.workers, &name, &item) {
-                    self.publish(&Change::Worker(name, addr));
-                }
-            }
-            Key::Gateway(name) => {
-                self.apply_addr(shared, &self.gateways, &name, &item);
-                let known = self.gateways.borrow().len() as u64;
-                shared.metrics.set_gauge("gateways_known", known);
-            }
+            Key::Worker(name) => self.apply_worker(shared, name, &item),
+            Key::Gateway(name) => self.apply_gateway(shared, name, &item),
             Key::Placer => {
                 let holder = item.value.as_ref().map(|v| {
                     let text = String::from_utf8_lossy(v);
@@ -245,7 +404,7 @@
             return;
         };
         match Record::decode(value) {
-            Ok(record) => self.put_job(&id, Rc::new(record), item.revision),
+            Ok(record) => self.put_job(shared, &id, Rc::new(record), item.revision),
             Err(e) => {
                 let detail = format!("revision={} cannot decode the record: {e}", item.revision);
                 shared.log.emit(Event::PeerRefused, id, detail);
@@ -253,41 +412,75 @@
         }
     }
 
-    fn apply_addr(
-        &self,
-        shared: &Shared,
-        table: &RefCell<HashMap<SmolStr, SocketAddr>>,
-        name: &SmolStr,
-        item: &Item,
-    ) -> Option<SocketAddr> {
+    fn apply_worker(&self, shared: &Shared, name: SmolStr, item: &Item) {
         let Some(value) = &item.value else {
-            table.borrow_mut().remove(name);
-            return None;
+            self.workers.borrow_mut().remove(&name);
+            return;
         };
         let addr = std::str::from_utf8(value).ok().and_then(|t| t.parse().ok());
         match addr {
             Some(addr) => {
-                table.borrow_mut().insert(name.clone(), addr);
+                self.workers.borrow_mut().insert(name.clone(), addr);
+                self.publish(&Change::Worker(name, addr));
+            }
+            None => log_unreadable(shared, name, item),
+        }
+    }
+
+    fn apply_gateway(&self, shared: &Shared, name: SmolStr, item: &Item) {
+        let entry = item.value.as_ref().map(|value| {
+            let text = std::str::from_utf8(value).ok();
+            text.and_then(GatewayEntry::parse)
+        });
+        match entry {
+            Some(Some(entry)) => {
+                self.gateways.borrow_mut().insert(name, entry);
             }
+            Some(None) => return log_unreadable(shared, name, item),
             None => {
-                let detail = format!("revision={} cannot parse the address", item.revision);
-                shared.log.emit(Event::PeerRefused, name.clone(), detail);
+                self.gateways.borrow_mut().remove(&name);
             }
         }
-        addr
+        let mut gateways = self.gateways.borrow().clone();
+        shared
+            .metrics
+            .set_gauge("gateways_known", gateways.len() as u64);
+        gateways
+            .entry(self.name.clone())
+            .or_insert_with(|| self.own.clone());
+        let candidates = gateways.into_iter().map(|(name, entry)| Candidate {
+            name,
+            domain: entry.domain,
+            capacity: entry.capacity,
+        });
+        *self.succession.borrow_mut() = succession::order(candidates);
+        self.release_records();
+    }
+
+    /// Drops the records unless this gateway follows them, as they would become outdated.
+    fn release_records(&self) {
+        if self.rank().is_none() || self.follows_records() {
+            return;
+        }
+        self.everything.synced.set(false);
+        self.jobs.borrow_mut().clear();
+        self.workers.borrow_mut().clear();
+        self.revisions
+            .borrow_mut()
+            .retain(|key, _| !matches!(keys::parse(key), Key::Job(_) | Key::Worker(_)));
     }
 
-    /// Lists the whole store and removes cached items that it no longer has.
-    async fn resync(&self, shared: &Shared) -> Result<(), StoreError> {
+    /// Lists the keys of a feed and removes cached items that the store no longer has.
+    async fn resync(&self, shared: &Shared, feed: &Feed) -> Result<(), StoreError> {
         let mut after = SmolStr::default();
         let mut first = None;
-        let mut listed: Vec<SmolStr> = Vec::new();
+        let mut listed: HashSet<SmolStr> = HashSet::new();
         loop {
-            let page = (shared.store.list)((SmolStr::default(), after.clone())).await?;
+            let page = (shared.store.list)((feed.prefix.clone(), after.clone())).await?;
             first.get_or_insert(page.revision);
             let last = page.items.last().map(|i| i.key.clone());
             for item in page.items {
-                listed.push(item.key.clone());
+                listed.insert(item.key.clone());
                 self.apply(shared, item);
             }
             match last.filter(|_| page.has_more) {
@@ -296,24 +489,35 @@
             }
         }
         let revision = first.unwrap_or(0);
-        let known: Vec<SmolStr> = self.revisions.borrow().keys().cloned().collect();
-        for key in known {
-            let older = self.revisions.borrow()[&key] < revision;
-            if older && !listed.contains(&key) {
-                let deleted = Item {
-                    key,
-                    value: None,
-                    revision,
-                };
-                self.apply(shared, deleted);
-            }
+        let outdated = |(key, known): &(&SmolStr, &u64)| {
+            **known < revision && key.starts_with(feed.prefix.as_str()) && !listed.contains(*key)
+        };
+        let deleted: Vec<SmolStr> = {
+            let revisions = self.revisions.borrow();
+            let keys = revisions.iter().filter(outdated);
+            keys.map(|(key, _)| key.clone()).collect()
+        };
+        for key in deleted {
+            let item = Item {
+                key,
+                value: None,
+                revision,
+            };
+            self.apply(shared, item);
         }
-        self.revision.set(revision);
-        self.synced.set(true);
+        feed.revision.set(revision);
+        // The records may have been released during the listing.
+        let is_kept = !feed.prefix.is_empty() || self.follows_records();
+        feed.synced.set(is_kept);
         Ok(())
     }
 }
 
+fn log_unreadable(shared: &Shared, name: SmolStr, item: &Item) {
+    let detail = format!("revision={} cannot parse the registration", item.revision);
+    shared.log.emit(Event::PeerRefused, name, detail);
+}
+
 /// Marks the store as reachable if it answers.
 async fn probe(shared: Rc<Shared>, cache: Rc<StoreCache>) {
     if (shared.store.get)(keys::PLACER_KEY.into()).await.is_ok() {
@@ -323,65 +527,91 @@
 
 /// Keeps the cache current until the process ends.
 pub async fn follow(shared: Rc<Shared>, cache: Rc<StoreCache>) {
+    for feed in cache.directory.clone() {
+        let (shared, cache) = (shared.clone(), cache.clone());
+        compio::runtime::spawn(async move {
+            loop {
+                if cache.has_fresh_records(shared.clock.now()) {
+                    sleep(IDLE_INTERVAL).await;
+                } else {
+                    advance(&shared, &cache, &feed).await;
+                }
+            }
+        })
+        .detach();
+    }
+    let feed = cache.everything.clone();
     loop {
-        let sent = shared.clock.now();
-        let result = if cache.synced.get() {
-            watch_once(&shared, &cache).await
+        if cache.follows_records() {
+            advance(&shared, &cache, &feed).await;
+            sleep(WATCH_PAUSE).await;
         } else {
-            cache.resync(&shared).await
-        };
-        match result {
-            Ok(()) => {
-                cache.confirmed_at.set(Some(sent));
-            }
-            Err(StoreError::Compacted) => {
-                let detail = format!(
-                    "after={} the store no longer has this history; listing it again",
-                    cache.revision()
-                );
-                shared.log.emit(Event::MirrorReset, "store", detail);
-                cache.synced.set(false);
-            }
-            Err(e) => {
-                cache.handle_store_failure(&shared, &e.to_string());
-                sleep(RETRY_DELAY).await;
-            }
+            sleep(IDLE_INTERVAL).await;
+        }
+    }
+}
+
+/// Makes one call that brings a feed up to date.
+async fn advance(shared: &Rc<Shared>, cache: &Rc<StoreCache>, feed: &Feed) {
+    let sent = shared.clock.now();
+    let result = if feed.synced.get() {
+        watch_once(shared, cache, feed).await
+    } else {
+        cache.resync(shared, feed).await
+    };
+    match result {
+        Ok(()) => feed.confirmed_at.set(Some(sent)),
+        Err(StoreError::Compacted) => {
+            let detail = format!(
+                "prefix={:?} after={} the store no longer has this history; listing it again",
+                feed.prefix,
+                feed.revision.get()
+            );
+            shared.log.emit(Event::MirrorReset, "store", detail);
+            feed.synced.set(false);
+            sleep(RESYNC_DELAY.mul_f64(rand::random_range(0.5..1.5))).await;
+        }
+        Err(e) => {
+            cache.handle_store_failure(shared, &e.to_string());
+            sleep(RETRY_DELAY).await;
         }
     }
 }
 
 /// Waits for changes once and applies them.
-async fn watch_once(shared: &Shared, cache: &StoreCache) -> Result<(), StoreError> {
+async fn watch_once(shared: &Shared, cache: &StoreCache, feed: &Feed) -> Result<(), StoreError> {
     // After a failure any answer shows that the store is back, so it must come at once.
     let wait = if cache.is_store_down() {
         Duration::ZERO
     } else {
         WATCH_WAIT
     };
-    let page = (shared.store.watch)((cache.revision(), wait)).await?;
+    let page = (shared.store.watch)((feed.prefix.clone(), feed.revision.get(), wait)).await?;
     for item in page.items {
         cache.apply(shared, item);
     }
-    cache.revision.set(page.revision.max(cache.revision()));
+    feed.revision.set(page.revision.max(feed.revision.get()));
+    if wait.is_zero() {
+        // Until a probe has succeeded, every watch returns at once.
+        sleep(RETRY_DELAY).await;
+    }
     Ok(())
 }
 
-/// Requests a newer manifest from the other gateways while the cache is out of date.
+/// Requests a newer manifest from a few other gateways at a time while the cache is out of
+/// date.
 pub async fn fetch_from_peers(shared: Rc<Shared>, cache: Rc<StoreCache>, rpc: Rc<RpcClient>) {
     loop {
         sleep(PEER_INTERVAL).await;
         if cache.is_fresh(shared.clock.now()) {
             continue;
         }
-        let peers: Vec<(SmolStr, SocketAddr)> = {
-            let gateways = cache.gateways.borrow();
-            let others = gateways.iter().filter(|(n, _)| **n != shared.settings.name);
-            others.map(|(n, a)| (n.clone(), *a)).collect()
-        };
-        for (name, addr) in peers {
+        let mut peers = cache.peer_addrs();
+        peers.shuffle(&mut rand::rng());
+        for addr in peers.into_iter().take(PEERS_PER_ROUND) {
             let version = cache.manifest().map_or(0, |m| m.version);
             match rpc.config(addr, version, PEER_TIMEOUT).await {
-                Ok(Some((_, raw))) => cache.apply_manifest(&shared, &raw, &name),
+                Ok(Some((_, raw))) => cache.apply_manifest(&shared, &raw, &addr.to_string()),
                 Ok(None) => {}
                 Err(_) => rpc.disconnect(addr),
             }
--- a/crates/roles/src/fleet/callers/mod.rs
+++ b/crates/roles/src/fleet/callers/mod.rs
@@ -11,6 +11,8 @@
 use crate::fleet::port::Outcome;
 use crate::fleet::port::StoreError;
 use crate::fleet::port::Txn;
+use crate::fleet::status;
+use crate::fleet::status::StatusClient;
 use crate::fleet::unconfirmed::UnconfirmedJobs;
 use bytes::Bytes;
 use compio::time::sleep;
@@ -52,6 +54,8 @@
     pub codec: CallerCodec,
     /// Notifies other gateways of writes.
     pub notifier: Rc<Notifier>,
+    /// Asks the gateways that follow all records.
+    pub status: Rc<StatusClient>,
     /// The jobs with an unconfirmed write, which must not be reported as not accepted.
     pub unconfirmed: Rc<UnconfirmedJobs>,
 }
@@ -100,7 +104,7 @@
         };
         let is_job_id = (self.codec.is_job_id)(&admitted.path_rest);
         match request.method {
-            Method::GET if admitted.path_rest.is_empty() => self.count_waiting(&admitted),
+            Method::GET if admitted.path_rest.is_empty() => self.count_waiting(&admitted).await,
             Method::GET if is_job_id => self.show(&admitted).await,
             Method::POST if is_job_id => self.submit(&admitted, &request.body).await,
             Method::DELETE if is_job_id => self.cancel(&admitted).await,
@@ -134,25 +138,24 @@
         })
     }
 
-    fn count_waiting(&self, admitted: &Admitted) -> (Code, Reply) {
-        let jobs = self.cache.jobs.borrow();
-        let queue_jobs = jobs
-            .values()
-            .filter(|s| s.record.job.queue == admitted.queue.name);
-        let waiting = queue_jobs
-            .filter(|s| s.record.state() == State::Queued)
-            .count();
-        (
-            Code::Done,
-            json_reply((self.codec.encode_waiting)(waiting as u64)),
-        )
+    async fn count_waiting(&self, admitted: &Admitted) -> (Code, Reply) {
+        let queue = &admitted.queue.name;
+        let waiting = if self.cache.has_records() {
+            Some(status::count_waiting(&self.cache, queue))
+        } else {
+            self.status.waiting(queue).await
+        };
+        match waiting {
+            Some(count) => (Code::Done, json_reply((self.codec.encode_waiting)(count))),
+            None => (Code::StoreDown, retry_later(code_status(Code::StoreDown))),
+        }
     }
 
     /// Responds with the state of a job.
     async fn show(&self, admitted: &Admitted) -> (Code, Reply) {
         let id = &admitted.path_rest;
-        if let Some(stored) = self.cache.job(id) {
-            return (Code::Done, self.state_reply(stored.record.state()));
+        if let Some(state) = self.known_state(id).await {
+            return (Code::Done, self.state_reply(state));
         }
         match self.read_record(id, admitted.deadline).await {
             Ok(Some((record, _))) => (Code::Done, self.state_reply(record.state())),
@@ -161,6 +164,24 @@
         }
     }
 
+    /// Returns the state of a job from this gateway's records or from those of another one.
+    async fn known_state(&self, id: &SmolStr) -> Option<State> {
+        if let Some(stored) = self.cache.job(id) {
+            return Some(stored.record.state());
+        }
+        if let Some(state) = self.cache.ended_state(id) {
+            return Some(state);
+        }
+        if self.cache.has_records() {
+            return None;
+        }
+        let state = self.status.state(id).await?;
+        if state.is_final() {
+            self.cache.put_ended(&self.shared, id, state);
+        }
+        Some(state)
+    }
+
     fn state_reply(&self, state: State) -> Reply {
         json_reply((self.codec.encode_state)(state))
     }
@@ -172,7 +193,7 @@
             value: Some(Bytes::from(record.encode())),
             revision,
         });
-        self.cache.put_job(id, record, revision);
+        self.cache.put_job(&self.shared, id, record, revision);
     }
 
     /// Stores the cancellation of a job, unless the job is over.
@@ -279,7 +300,7 @@
                     return match Record::decode(&value) {
                         Ok(record) => {
                             let cached = Rc::new(record.clone());
-                            self.cache.put_job(id, cached, item.revision);
+                            self.cache.put_job(&self.shared, id, cached, item.revision);
                             Ok(Some((record, item.revision)))
                         }
                         Err(e) => {
--- a/crates/roles/src/fleet/election.rs
+++ b/crates/roles/src/fleet/election.rs
@@ -3,18 +3,19 @@
 use super::Shared;
 use super::cache::StoreCache;
 use super::keys;
-use super::notify::Notifier;
 use super::placer;
+use super::placer::PlacerServices;
 use super::port::Item;
 use super::port::Outcome;
-use super::port::PolicyService;
 use super::port::StoreError;
 use super::port::Txn;
+use super::status::StatusClient;
 use bytes::Bytes;
 use compio::time::sleep;
-use hibiscusbarrow_adapters::rpc::RpcClient;
 use hibiscusbarrow_adapters::signal::Flag;
 use hibiscusbarrow_coordination::lease::Lease;
+use hibiscusbarrow_coordination::succession::STANDBYS;
+use hibiscusbarrow_coordination::succession::takeover_delay;
 use hibiscusbarrow_model::event::Event;
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -27,6 +28,8 @@
 const RENEW_INTERVAL: Duration = Duration::from_millis(300);
 /// The time between two checks whether the lease is free.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// How often a placer that is no standby looks for a standby that could replace it.
+const STANDBY_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// The delay after a failed attempt to acquire the lease.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -36,6 +39,8 @@
     pub epoch: u64,
     /// Raised once this process is no longer the placer under this lease.
     pub lost: Flag,
+    /// Raised when this process hands the lease over to a better placer.
+    pub resigned: Flag,
     id: u64,
     validity: RefCell<Lease>,
     /// Whether the lease has expired by its holder's clock because no renewal succeeded.
@@ -50,37 +55,69 @@
 }
 
 /// Acquires the lease whenever it is free and places jobs while it is held.
-pub async fn run(
-    shared: Rc<Shared>,
-    cache: Rc<StoreCache>,
-    rpc: Rc<RpcClient>,
-    policy: PolicyService,
-    notifier: Rc<Notifier>,
-) {
+///
+/// A free lease is claimed in the order of succession, so that a large gateway that has the
+/// records comes first and the others need not all call the store.
+pub async fn run(shared: Rc<Shared>, services: PlacerServices) {
+    let cache = services.cache.clone();
     release_previous(&shared, &cache).await;
+    let mut free_since = None;
     while !shared.stop.is_raised() {
-        let is_free = cache.placer.borrow().is_none();
-        if !is_free || !cache.is_fresh(shared.clock.now()) {
+        let now = shared.clock.now();
+        let is_free = cache.placer.borrow().is_none() && cache.is_fresh(now);
+        let Some(rank) = cache.rank().filter(|_| is_free) else {
+            free_since = None;
             sleep(CHECK_INTERVAL).await;
             continue;
+        };
+        let claim_at = *free_since.get_or_insert(now) + takeover_delay(rank);
+        if now < claim_at {
+            sleep((claim_at - now).min(CHECK_INTERVAL)).await;
+            continue;
         }
+        free_since = None;
         match acquire(&shared).await {
-            Some(lease) => {
-                let lease = Rc::new(lease);
-                compio::runtime::spawn(renew(shared.clone(), lease.clone())).detach();
-                placer::run(&shared, &cache, &rpc, &policy, &notifier, &lease).await;
-                lease.lost.raise();
-                if shared.stop.is_raised() {
-                    let _ = (shared.store.revoke)(lease.id).await;
-                }
-                let detail = format!("epoch={}", lease.epoch);
-                shared.log.emit(Event::PlacerLapsed, "placer", detail);
-            }
+            Some(lease) => hold(&shared, &services, Rc::new(lease), rank).await,
             None => sleep(RETRY_DELAY).await,
         }
     }
 }
 
+/// Places jobs until the lease is lost, handed over or released.
+async fn hold(shared: &Rc<Shared>, services: &PlacerServices, lease: Rc<PlacerLease>, rank: usize) {
+    services.cache.set_placing(true);
+    compio::runtime::spawn(renew(shared.clone(), lease.clone())).detach();
+    if rank >= STANDBYS {
+        let (cache, status) = (services.cache.clone(), services.status.clone());
+        compio::runtime::spawn(resign_for_standby(cache, status, lease.clone())).detach();
+    }
+    placer::run(shared, services, &lease).await;
+    lease.lost.raise();
+    if shared.stop.is_raised() || lease.resigned.is_raised() {
+        let _ = (shared.store.revoke)(lease.id).await;
+    }
+    services.cache.set_placing(false);
+    let resigned = lease.resigned.is_raised();
+    let detail = format!("epoch={} resigned={resigned}", lease.epoch);
+    shared.log.emit(Event::PlacerLapsed, "placer", detail);
+}
+
+/// Hands the lease over once a standby could take it.
+async fn resign_for_standby(
+    cache: Rc<StoreCache>,
+    status: Rc<StatusClient>,
+    lease: Rc<PlacerLease>,
+) {
+    while !lease.lost.is_raised() {
+        sleep(STANDBY_CHECK_INTERVAL).await;
+        let is_standby = cache.rank().is_some_and(|r| r < STANDBYS);
+        if !is_standby && status.has_better_placer().await {
+            lease.resigned.raise();
+            return;
+        }
+    }
+}
+
 /// Releases the lease of a previous incarnation of this process.
 async fn release_previous(shared: &Shared, cache: &StoreCache) {
     while !cache.is_fresh(shared.clock.now()) {
@@ -140,6 +177,7 @@
     Some(PlacerLease {
         epoch,
         lost: Flag::default(),
+        resigned: Flag::default(),
         id,
         validity: RefCell::new(validity),
         expired: Cell::new(false),
--- a/crates/roles/src/fleet/gateway.rs
+++ b/crates/roles/src/fleet/gateway.rs
@@ -8,12 +8,16 @@
 use super::keys;
 use super::notify;
 use super::notify::Notifier;
+use super::placer::PlacerServices;
 use super::port::CallerCodec;
 use super::port::PolicyService;
 use super::port::Store;
+use super::registration::GatewayEntry;
 use super::registration::register;
 use super::relay;
 use super::serve_metrics;
+use super::status;
+use super::status::StatusClient;
 use super::unconfirmed::UnconfirmedJobs;
 use anyhow::Context;
 use compio::net::TcpListener;
@@ -42,7 +46,8 @@
     callers: CallerCodec,
     policy: PolicyService,
 ) -> anyhow::Result<()> {
-    let cache = Rc::new(StoreCache::default());
+    let manifest_key = shared.store.manifest_key.clone();
+    let cache = Rc::new(StoreCache::new(&shared.settings, manifest_key));
     let rpc = Rc::new(RpcClient::default());
     let direct_store = shared.store.clone();
     let shared = Rc::new(with_relay(shared, &cache, &rpc));
@@ -79,11 +84,9 @@
     ));
     let register_shared = shared.clone();
     spawn(async move {
-        register(
-            &register_shared,
-            keys::gateway(&register_shared.settings.name),
-        )
-        .await
+        let settings = &register_shared.settings;
+        let (key, entry) = (keys::gateway(&settings.name), GatewayEntry::own(settings));
+        register(&register_shared, key, entry).await
     });
     let unconfirmed = Rc::new(UnconfirmedJobs::default());
     spawn(serve_peers(
@@ -99,11 +102,19 @@
         cache.clone(),
     ));
     let notifier = Rc::new(Notifier {
-        name: settings.name.clone(),
         cache: cache.clone(),
         rpc: rpc.clone(),
     });
-    let election = election::run(shared.clone(), cache.clone(), rpc, policy, notifier.clone());
+    let status = StatusClient::new(shared.clone(), cache.clone(), rpc.clone());
+    let status = Rc::new(status);
+    let services = PlacerServices {
+        cache: cache.clone(),
+        rpc,
+        policy,
+        notifier: notifier.clone(),
+        status: status.clone(),
+    };
+    let election = election::run(shared.clone(), services);
     let election = compio::runtime::spawn(election);
 
     let limits = Limits {
@@ -116,6 +127,7 @@
         cache,
         codec: callers,
         notifier,
+        status,
         unconfirmed,
     });
     let handle = move |request| handler.clone().handle(request);
@@ -135,12 +147,8 @@
 
 /// Replaces the store by one that calls through other gateways when the direct path fails.
 fn with_relay(shared: Shared, cache: &Rc<StoreCache>, rpc: &Rc<RpcClient>) -> Shared {
-    let (name, cache) = (shared.settings.name.clone(), cache.clone());
-    let peers = move || {
-        let gateways = cache.gateways.borrow();
-        let others = gateways.iter().filter(|(n, _)| **n != name);
-        others.map(|(_, addr)| *addr).collect()
-    };
+    let cache = cache.clone();
+    let peers = move || cache.peer_addrs();
     let (log, clock) = (shared.log.clone(), shared.clock.clone());
     let store = relay::relayed(
         shared.store.clone(),
@@ -169,6 +177,9 @@
                 if request.service == relay::SERVICE {
                     return relay::serve(store, request).await;
                 }
+                if request.service == status::SERVICE {
+                    return status::handle(&cache, &shared, &request);
+                }
                 if request.service == notify::SERVICE {
                     return notify::handle(&cache, &unconfirmed, &shared, &request);
                 }
--- a/crates/roles/src/fleet/keys.rs
+++ b/crates/roles/src/fleet/keys.rs
@@ -8,7 +8,8 @@
 
 const JOB_PREFIX: &str = "hibiscusbarrow/job/";
 const WORKER_PREFIX: &str = "hibiscusbarrow/worker/";
-const GATEWAY_PREFIX: &str = "hibiscusbarrow/gateway/";
+/// The prefix of the keys of gateways' registrations.
+pub const GATEWAY_PREFIX: &str = "hibiscusbarrow/gateway/";
 
 /// A parsed key, named by what is stored under it.
 #[derive(Clone, Debug, Eq, PartialEq)]
--- a/crates/roles/src/fleet/mod.rs
+++ b/crates/roles/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 mod registration;
 pub mod relay;
 pub mod sidecar;
+mod status;
 mod unconfirmed;
 
 use hibiscusbarrow_adapters::http::Limits;
--- a/crates/roles/src/fleet/notify.rs
+++ b/crates/roles/src/fleet/notify.rs
@@ -36,8 +36,6 @@
 
 /// Sends notifications to other gateways.
 pub struct Notifier {
-    /// The name of this gateway.
-    pub name: SmolStr,
     /// The cache of the store, which names the gateways and the placer.
     pub cache: Rc<StoreCache>,
     /// The connections to the gateways.
@@ -47,23 +45,22 @@
 impl Notifier {
     /// Notifies the placer of a write, unless this gateway is the placer.
     pub fn notify_placer(&self, item: Item) {
-        let holder = self.cache.placer.borrow().clone();
-        let addr = holder
-            .filter(|(name, _)| *name != self.name)
-            .and_then(|(name, _)| self.cache.gateways.borrow().get(&name).copied());
-        if let Some(addr) = addr {
+        if let Some(addr) = self.cache.placer_addr() {
             self.send(addr, &Notification::Written(vec![item]));
         }
     }
 
+    /// Notifies the standbys of writes, as the other gateways ask them for the state of jobs.
+    pub fn notify_standbys(&self, items: Vec<Item>) {
+        let notification = Notification::Written(items);
+        for addr in self.cache.standby_addrs() {
+            self.send(addr, &notification);
+        }
+    }
+
     /// Notifies all other gateways.
     pub fn notify_all(&self, notification: &Notification) {
-        let addrs: Vec<SocketAddr> = {
-            let gateways = self.cache.gateways.borrow();
-            let others = gateways.iter().filter(|(n, _)| **n != self.name);
-            others.map(|(_, addr)| *addr).collect()
-        };
-        for addr in addrs {
+        for addr in self.cache.peer_addrs() {
             self.send(addr, notification);
         }
     }
--- a/crates/roles/src/fleet/placer.rs
+++ b/crates/roles/src/fleet/placer.rs
@@ -10,10 +10,10 @@
 use super::deliver::order_kind;
 use super::election::PlacerLease;
 use super::keys;
-use super::notify::Notification;
 use super::notify::Notifier;
 use super::port::Item;
 use super::port::PolicyService;
+use super::status::StatusClient;
 use bytes::Bytes;
 use compio::time::sleep;
 use futures_channel::mpsc;
@@ -52,6 +52,8 @@
 const MAX_ORDER_ATTEMPTS: u32 = 2;
 /// The delay before an unresponsive worker is polled again.
 const POLL_RETRY_DELAY: Duration = Duration::from_millis(250);
+/// The longest wait for the answers to orders and writes before the lease is handed over.
+const MAX_WIND_DOWN: Duration = Duration::from_millis(600);
 /// The longest wait for the ends of runs to be stored before their worker is polled again.
 const COMMIT_WAIT: Duration = Duration::from_millis(250);
 
@@ -71,6 +73,21 @@
     ApprovalsReceived(ApprovalRequest, Duration, Option<Vec<(SmolStr, SmolStr)>>),
 }
 
+/// What a placer uses of its gateway.
+#[derive(Clone)]
+pub struct PlacerServices {
+    /// The cache of the store.
+    pub cache: Rc<StoreCache>,
+    /// The connections to other processes.
+    pub rpc: Rc<RpcClient>,
+    /// The policy service.
+    pub policy: PolicyService,
+    /// Notifies other gateways of writes.
+    pub notifier: Rc<Notifier>,
+    /// Asks other gateways that follow all records.
+    pub status: Rc<StatusClient>,
+}
+
 struct Placer {
     shared: Rc<Shared>,
     cache: Rc<StoreCache>,
@@ -82,6 +99,10 @@
     sender: mpsc::UnboundedSender<Input>,
     /// Whether a batch is being stored.
     writing: bool,
+    /// The orders that are not answered yet.
+    open_orders: usize,
+    /// When this placer began to hand over.
+    ending_since: Option<Duration>,
     /// Effects that wait for the lease to be renewed.
     queued_effects: VecDeque<Effect>,
     /// Workers with a poll in flight.
@@ -101,16 +122,10 @@
 }
 
 /// Places jobs until the lease is lost or the process stops.
-pub async fn run(
-    shared: &Rc<Shared>,
-    cache: &Rc<StoreCache>,
-    rpc: &Rc<RpcClient>,
-    policy: &PolicyService,
-    notifier: &Rc<Notifier>,
-    lease: &Rc<PlacerLease>,
-) {
+pub async fn run(shared: &Rc<Shared>, services: &PlacerServices, lease: &Rc<PlacerLease>) {
+    let cache = &services.cache;
     let mut changes = cache.subscribe();
-    while cache.revision() < lease.epoch {
+    while !cache.includes_records(lease.epoch) {
         if lease.lost.is_raised() || shared.stop.is_raised() {
             return;
         }
@@ -121,13 +136,15 @@
     let mut placer = Placer {
         shared: shared.clone(),
         cache: cache.clone(),
-        rpc: rpc.clone(),
-        policy: policy.clone(),
-        notifier: notifier.clone(),
+        rpc: services.rpc.clone(),
+        policy: services.policy.clone(),
+        notifier: services.notifier.clone(),
         lease: lease.clone(),
         ledger: Ledger::new(shared.settings.bounds, lease.epoch, now),
         sender,
         writing: false,
+        open_orders: 0,
+        ending_since: None,
         queued_effects: VecDeque::new(),
         polling: BTreeSet::new(),
         awaiting_commit: BTreeSet::new(),
@@ -145,11 +162,13 @@
         while let Ok(input) = inputs.try_recv() {
             placer.handle_input(input);
         }
-        let over = lease.lost.is_raised() || placer.ledger.is_fenced();
-        if over || shared.stop.is_raised() {
+        if lease.lost.is_raised() || placer.ledger.is_fenced() {
             return;
         }
         placer.advance();
+        if placer.has_wound_down() {
+            return;
+        }
         let next = select(changes.next(), inputs.next());
         match select(next, pin!(sleep(MAX_PLAN_INTERVAL))).await {
             Either::Left((Either::Left((Some(change), _)), _)) => {
@@ -196,6 +215,7 @@
             }
             Input::PollDue(sidecar) => self.poll(sidecar),
             Input::OrderAnswered(sidecar, boot, order, answer, unconfirmed) => {
+                self.open_orders -= 1;
                 self.ledger
                     .handle_answer(&sidecar, &boot, &order, &answer, unconfirmed, now);
             }
@@ -230,13 +250,29 @@
         }
     }
 
+    /// Returns whether this placer hands over and all its orders and writes are answered, or
+    /// have been waited for long enough.
+    ///
+    /// A successor would otherwise find starts that are stored and not sent, or sent and not
+    /// answered, and could only stop them.
+    fn has_wound_down(&mut self) -> bool {
+        if !self.shared.stop.is_raised() && !self.lease.resigned.is_raised() {
+            return false;
+        }
+        let now = self.shared.clock.now();
+        let since = *self.ending_since.get_or_insert(now);
+        let idle = !self.writing && self.open_orders == 0;
+        idle || now >= since + MAX_WIND_DOWN
+    }
+
     /// Plans, stores what the plan changed, and carries out the ledger's effects.
     fn advance(&mut self) {
         let now = self.shared.clock.now();
         self.publish_gauges(now);
         let wall = self.shared.clock.wall_ms();
+        let may_plan = self.ending_since.is_none() && self.lease.is_held(now);
         let changed = self.needs_plan || self.ledger.changes() != self.planned_changes;
-        if changed || now >= self.planned_at + MAX_PLAN_INTERVAL {
+        if may_plan && (changed || now >= self.planned_at + MAX_PLAN_INTERVAL) {
             self.ledger.plan(now, wall);
             (self.needs_plan, self.planned_changes, self.planned_at) =
                 (false, self.ledger.changes(), now);
@@ -387,7 +423,7 @@
         self.poll_later(sidecar, COMMIT_WAIT);
     }
 
-    fn send_order(&self, sidecar: SmolStr, boot: Boot, order: Order) {
+    fn send_order(&mut self, sidecar: SmolStr, boot: Boot, order: Order) {
         let Some(addr) = self.ledger.addr(&sidecar) else {
             return;
         };
@@ -400,6 +436,7 @@
         let (lease, clock) = (self.lease.clone(), self.shared.clock.clone());
         let metrics = self.shared.metrics.clone();
         let (kind, sent) = (order_kind(&order), clock.now());
+        self.open_orders += 1;
         compio::runtime::spawn(async move {
             let mut unconfirmed = false;
             let mut answer = Answer::Silent;
@@ -481,7 +518,7 @@
         }
     }
 
-    /// Notifies the other gateways of ended jobs, so that all show them at once.
+    /// Notifies the standbys of ended jobs, so that they show them at once.
     fn notify_ended(&self, batch: &Batch, revision: u64) {
         let ended = batch.writes.iter().filter(|w| w.ended);
         let items: Vec<Item> = ended
@@ -496,8 +533,7 @@
         if items.is_empty() {
             return;
         }
-        self.notifier
-            .notify_all(&Notification::Written(items.clone()));
+        self.notifier.notify_standbys(items.clone());
         for item in items {
             self.cache.apply(&self.shared, item);
         }
--- a/crates/roles/src/fleet/port.rs
+++ b/crates/roles/src/fleet/port.rs
@@ -30,6 +30,8 @@
     pub name: SmolStr,
     /// The failure domain.
     pub domain: SmolStr,
+    /// The processor capacity, in thousandths of a core.
+    pub capacity: u64,
     /// The address at which callers are served; gateways only.
     pub caller_addr: Option<SocketAddr>,
     /// The address at which the load balancer checks readiness; gateways only.
@@ -128,8 +130,8 @@
     pub get: Call<SmolStr, Option<Item>>,
     /// Reads a page of all keys with a prefix, after a key.
     pub list: Call<(SmolStr, SmolStr), Page>,
-    /// Waits for changes of all keys after a revision.
-    pub watch: Call<(u64, Duration), Page>,
+    /// Waits for changes of all keys with a prefix after a revision.
+    pub watch: Call<(SmolStr, u64, Duration), Page>,
     /// Runs a transaction.
     pub commit: Call<Txn, Outcome>,
     /// Grants a lease of a given duration and returns its identifier.
--- a/crates/roles/src/fleet/relay.rs
+++ b/crates/roles/src/fleet/relay.rs
@@ -57,8 +57,9 @@
     Get(SmolStr),
     /// Reads a page of all keys with a prefix, after a key.
     List(SmolStr, SmolStr),
-    /// Waits for changes after a revision, for at most the given number of milliseconds.
-    Watch(u64, u64),
+    /// Waits for changes of all keys with a prefix after a revision, for at most the given
+    /// number of milliseconds.
+    Watch(SmolStr, u64, u64),
     /// Runs a transaction.
     Commit(Txn),
     /// Grants a lease with a time to live in milliseconds.
@@ -141,8 +142,8 @@
                 _ => None,
             })
         }),
-        watch: Rc::new(move |(after, wait)| {
-            let call = Call::Watch(after, wait.as_millis() as u64);
+        watch: Rc::new(move |(prefix, after, wait)| {
+            let call = Call::Watch(prefix, after, wait.as_millis() as u64);
             watch.clone().call(call, wait + HEDGE_DELAY, |r| match r {
                 Response::Page(page) => Some(page),
                 _ => None,
@@ -200,9 +201,10 @@
     match call {
         Call::Get(key) => (store.get)(key).await.map(Response::Got),
         Call::List(prefix, after) => (store.list)((prefix, after)).await.map(Response::Page),
-        Call::Watch(after, wait) => {
+        Call::Watch(prefix, after, wait) => {
             let wait = Duration::from_millis(wait);
-            (store.watch)((after, wait)).await.map(Response::Page)
+            let page = (store.watch)((prefix, after, wait)).await;
+            page.map(Response::Page)
         }
         Call::Commit(txn) => (store.commit)(txn).await.map(Response::Committed),
         Call::Grant(ttl) => {
@@ -281,7 +283,9 @@
     async fn call_peers(&self, call: &Call) -> Result<Response, StoreError> {
         let peers = self.choose_peers();
         let call = match call {
-            Call::Watch(after, wait) => Call::Watch(*after, (*wait).min(MAX_RELAYED_WAIT_MS)),
+            Call::Watch(prefix, after, wait) => {
+                Call::Watch(prefix.clone(), *after, (*wait).min(MAX_RELAYED_WAIT_MS))
+            }
             other => other.clone(),
         };
         let body = postcard::to_allocvec(&call).expect("a call can be serialized");
--- a/crates/roles/src/fleet/sidecar.rs
+++ b/crates/roles/src/fleet/sidecar.rs
@@ -123,7 +123,9 @@
     /// [`REGISTRATION_TIMEOUT`], so that the placer finds it.
     async fn keep_registered(self: Rc<Self>) {
         loop {
-            register(&self.shared, keys::worker(&self.shared.settings.name)).await;
+            let settings = &self.shared.settings;
+            let key = keys::worker(&settings.name);
+            register(&self.shared, key, settings.peer_addr).await;
             self.wait_without_orders().await;
         }
     }
