Ask few gateways during an outage of the store, and name a time to return by its age

Cause: a call that failed was relayed to every other gateway in turn, and each of them called the store. Probes and the watches of all feeds added to it. The retry-after header named 1 s, however long the outage had lasted.

Change: three gateways are asked at most, and none for half a second after three that could not reach the store either. One probe per gateway finds out when the store is back, and the feeds wait for it. The retry-after header names about the age of the outage, 1 to 5 s, spread over the second half of that time; the module has no network, and its tests name the pattern.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod keyed;
 pub mod lease;
 pub mod membership;
+pub mod retry_after;
 pub mod succession;
 
 /// Runs the examples of the guide as documentation tests of this crate.
--- a/crates/coordination/tests/suite/main.rs
+++ b/crates/coordination/tests/suite/main.rs
@@ -6,4 +6,5 @@
 mod keyed;
 mod membership;
 mod parts;
+mod retry_after;
 mod succession;
--- a/crates/roles/src/fleet/cache.rs
+++ b/crates/roles/src/fleet/cache.rs
@@ -44,6 +44,8 @@
 const RESYNC_DELAY: Duration = Duration::from_millis(250);
 /// The delay after a failed call to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(150);
+/// How often a feed checks whether the store has answered a probe.
+const DOWN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// The time between two probes of a store that does not answer.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
 /// The cache may be out of date if its last successful update is older than this.
@@ -136,8 +138,8 @@
     raw_manifest: RefCell<Bytes>,
     /// The newest known revision of each key.
     revisions: RefCell<HashMap<SmolStr, u64>>,
-    /// Whether the last call to the store failed.
-    store_down: Cell<bool>,
+    /// Since when calls to the store fail; none while it answers.
+    down_since: Cell<Option<Duration>>,
     subscribers: RefCell<Vec<mpsc::UnboundedSender<Change>>>,
 }
 
@@ -164,7 +166,7 @@
             manifest: RefCell::default(),
             raw_manifest: RefCell::default(),
             revisions: RefCell::default(),
-            store_down: Cell::new(false),
+            down_since: Cell::new(None),
             subscribers: RefCell::default(),
         }
     }
@@ -266,23 +268,30 @@
 
     /// Returns whether the last call to the store failed and no probe has succeeded since.
     pub fn is_store_down(&self) -> bool {
-        self.store_down.get()
+        self.down_since.get().is_some()
+    }
+
+    /// Returns for how long calls to the store have failed; zero while it answers.
+    pub fn outage_age(&self, now: Duration) -> Duration {
+        let since = self.down_since.get().unwrap_or(now);
+        now.saturating_sub(since)
     }
 
     /// Records that a call to the store failed, and probes the store until it answers.
     pub fn handle_store_failure(self: &Rc<Self>, shared: &Rc<Shared>, reason: &str) {
-        if self.store_down.replace(true) {
+        if self.is_store_down() {
             return;
         }
+        let since = shared.clock.now();
+        self.down_since.set(Some(since));
         shared
             .log
             .emit(Event::StoreDown, "store", reason.to_owned());
         let (shared, cache) = (shared.clone(), self.clone());
-        let since = shared.clock.now();
         compio::runtime::spawn(async move {
             // A probe may hang on an unresponsive connection; the next one does not wait
             // for it.
-            while cache.store_down.get() {
+            while cache.is_store_down() {
                 compio::runtime::spawn(probe(shared.clone(), cache.clone())).detach();
                 sleep(PROBE_INTERVAL).await;
             }
@@ -521,7 +530,7 @@
 /// Marks the store as reachable if it answers.
 async fn probe(shared: Rc<Shared>, cache: Rc<StoreCache>) {
     if (shared.store.get)(keys::PLACER_KEY.into()).await.is_ok() {
-        cache.store_down.set(false);
+        cache.down_since.set(None);
     }
 }
 
@@ -574,27 +583,21 @@
         Err(e) => {
             cache.handle_store_failure(shared, &e.to_string());
             sleep(RETRY_DELAY).await;
+            // One probe for all feeds finds out when the store is back.
+            while cache.is_store_down() {
+                sleep(DOWN_CHECK_INTERVAL).await;
+            }
         }
     }
 }
 
 /// Waits for changes once and applies them.
 async fn watch_once(shared: &Shared, cache: &StoreCache, feed: &Feed) -> Result<(), StoreError> {
-    // After a failure any answer shows that the store is back, so it must come at once.
-    let wait = if cache.is_store_down() {
-        Duration::ZERO
-    } else {
-        WATCH_WAIT
-    };
-    let page = (shared.store.watch)((feed.prefix.clone(), feed.revision.get(), wait)).await?;
+    let page = (shared.store.watch)((feed.prefix.clone(), feed.revision.get(), WATCH_WAIT)).await?;
     for item in page.items {
         cache.apply(shared, item);
     }
     feed.revision.set(page.revision.max(feed.revision.get()));
-    if wait.is_zero() {
-        // Until a probe has succeeded, every watch returns at once.
-        sleep(RETRY_DELAY).await;
-    }
     Ok(())
 }
 
--- a/crates/roles/src/fleet/callers/mod.rs
+++ b/crates/roles/src/fleet/callers/mod.rs
@@ -20,6 +20,7 @@
 use hibiscusbarrow_adapters::http::Reply;
 use hibiscusbarrow_adapters::http::Request;
 use hibiscusbarrow_adapters::http::text_reply;
+use hibiscusbarrow_coordination::retry_after::during_outage;
 use hibiscusbarrow_fleet::manifest::Account;
 use hibiscusbarrow_fleet::manifest::Manifest;
 use hibiscusbarrow_fleet::manifest::Queue;
@@ -41,8 +42,6 @@
 const RESPONSE_MARGIN: Duration = Duration::from_millis(40);
 /// The delay before a call to the store is repeated.
 const BACKOFF: Duration = Duration::from_millis(60);
-/// The time after which a caller may retry a rejected request, in seconds.
-const RETRY_AFTER_SECS: &str = "1";
 
 /// The interface of one gateway for callers.
 pub struct CallerService {
@@ -96,7 +95,7 @@
 
     async fn dispatch(&self, request: Request, started_at: Duration) -> (Code, Reply) {
         let Some(manifest) = self.cache.manifest() else {
-            return (Code::NotReady, retry_later(503));
+            return (Code::NotReady, self.retry_later(503));
         };
         let admitted = match self.admit(&manifest, &request, started_at) {
             Ok(admitted) => admitted,
@@ -147,7 +146,10 @@
         };
         match waiting {
             Some(count) => (Code::Done, json_reply((self.codec.encode_waiting)(count))),
-            None => (Code::StoreDown, retry_later(code_status(Code::StoreDown))),
+            None => (
+                Code::StoreDown,
+                self.retry_later(code_status(Code::StoreDown)),
+            ),
         }
     }
 
@@ -160,7 +162,7 @@
         match self.read_record(id, admitted.deadline).await {
             Ok(Some((record, _))) => (Code::Done, self.state_reply(record.state())),
             Ok(None) => (Code::JobUnknown, text_reply(410, "")),
-            Err(code) => (code, retry_later(code_status(code))),
+            Err(code) => (code, self.retry_later(code_status(code))),
         }
     }
 
@@ -182,6 +184,17 @@
         Some(state)
     }
 
+    /// Returns an empty response that says when to retry, by how long the store has been down.
+    fn retry_later(&self, status: u16) -> Reply {
+        let outage = self.cache.outage_age(self.shared.clock.now());
+        let wait = during_outage(outage, rand::random());
+        let mut reply = text_reply(status, "");
+        let seconds = wait.as_secs_f64().ceil() as u64;
+        let value = HeaderValue::from(seconds);
+        reply.headers_mut().insert(header::RETRY_AFTER, value);
+        reply
+    }
+
     fn state_reply(&self, state: State) -> Reply {
         json_reply((self.codec.encode_state)(state))
     }
@@ -209,7 +222,7 @@
                 stored = match self.read_record(id, admitted.deadline).await {
                     Ok(Some(found)) => Some(found),
                     Ok(None) => return (Code::JobUnknown, text_reply(410, "")),
-                    Err(code) => return (code, retry_later(code_status(code))),
+                    Err(code) => return (code, self.retry_later(code_status(code))),
                 };
             }
             let Some((record, revision)) = stored.as_mut() else {
@@ -254,7 +267,7 @@
                 } else {
                     Code::NotAccepted
                 };
-                return (code, retry_later(code_status(code)));
+                return (code, self.retry_later(code_status(code)));
             }
             sleep(BACKOFF).await;
         }
@@ -331,11 +344,3 @@
     reply.headers_mut().insert(header::CONTENT_TYPE, kind);
     reply
 }
-
-/// Returns an empty response with a `retry-after` header.
-fn retry_later(status: u16) -> Reply {
-    let mut reply = text_reply(status, "");
-    let wait = HeaderValue::from_static(RETRY_AFTER_SECS);
-    reply.headers_mut().insert(header::RETRY_AFTER, wait);
-    reply
-}
--- a/crates/roles/src/fleet/callers/submit.rs
+++ b/crates/roles/src/fleet/callers/submit.rs
@@ -4,7 +4,6 @@
 use super::BACKOFF;
 use super::CallerService;
 use super::json_reply;
-use super::retry_later;
 use crate::fleet::keys;
 use crate::fleet::notify::Notification;
 use crate::fleet::port::Item;
@@ -124,7 +123,7 @@
         if self.unconfirmed.contains(id, self.shared.clock.now()) {
             (Code::AcceptUnknown, text_reply(504, ""))
         } else {
-            (Code::NotAccepted, retry_later(503))
+            (Code::NotAccepted, self.retry_later(503))
         }
     }
 
--- a/crates/roles/src/fleet/relay.rs
+++ b/crates/roles/src/fleet/relay.rs
@@ -24,6 +24,7 @@
 use hibiscusbarrow_coordination::clock::Clock;
 use hibiscusbarrow_model::code::Code;
 use hibiscusbarrow_model::event::Event;
+use rand::seq::SliceRandom;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -47,6 +48,11 @@
 const MAX_RELAYED_WAIT_MS: u64 = 300;
 /// How long a gateway that did not answer is not asked again.
 const PEER_COOLDOWN: Duration = Duration::from_secs(2);
+/// The most gateways that are asked for one call. Each of them calls the store, so that a call
+/// during an outage of the store is made at most this many times more.
+const MAX_PEERS: usize = 3;
+/// How long no gateway is asked after all that were asked could not reach the store either.
+const OUTAGE_COOLDOWN: Duration = Duration::from_millis(500);
 /// The time between two probes of the direct path after it failed.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -101,6 +107,8 @@
     preferred: Cell<Option<SocketAddr>>,
     /// When a gateway last failed to answer.
     failed_at: RefCell<HashMap<SocketAddr, Duration>>,
+    /// When gateways were last asked and none could reach the store.
+    outage_at: Cell<Option<Duration>>,
     clock: Clock,
 }
 
@@ -122,6 +130,7 @@
         probing: Cell::new(false),
         preferred: Cell::new(None),
         failed_at: RefCell::new(HashMap::new()),
+        outage_at: Cell::new(None),
         clock,
     });
     let r = || relay.clone();
@@ -294,13 +303,15 @@
             body: Bytes::from(body),
             ..ForwardRequest::default()
         };
-        let mut failure = StoreError::Refused("no other gateway is known".into());
+        let mut failure = StoreError::Refused("no other gateway is asked".into());
+        let asked = !peers.is_empty();
         for peer in peers {
             failure = match self.rpc.forward(peer, &request, RELAY_TIMEOUT).await {
                 Ok(reply) if reply.code == Code::Done => {
                     match postcard::from_bytes::<Result<Response, StoreError>>(&reply.body) {
                         Ok(Ok(response)) => {
                             self.preferred.set(Some(peer));
+                            self.outage_at.set(None);
                             return Ok(response);
                         }
                         Ok(Err(StoreError::Compacted)) => return Err(StoreError::Compacted),
@@ -320,18 +331,28 @@
                 }
             };
         }
+        if asked {
+            self.outage_at.set(Some(self.clock.now()));
+        }
         Err(failure)
     }
 
-    /// Returns the gateways to ask, the preferred one first, without those in cooldown.
+    /// Returns the gateways to ask: a random choice without those in cooldown, the preferred
+    /// one first; none while the store is down for all.
     fn choose_peers(&self) -> Vec<SocketAddr> {
         let (now, preferred) = (self.clock.now(), self.preferred.get());
+        let outage_at = self.outage_at.get();
+        if outage_at.is_some_and(|at| now < at + OUTAGE_COOLDOWN) {
+            return Vec::new();
+        }
         let failed_at = self.failed_at.borrow();
         let cooling_down =
             |p: &SocketAddr| failed_at.get(p).is_some_and(|at| now < *at + PEER_COOLDOWN);
         let mut peers = (self.peers)();
         peers.retain(|p| !cooling_down(p));
+        peers.shuffle(&mut rand::rng());
         peers.sort_by_key(|p| Some(*p) != preferred);
+        peers.truncate(MAX_PEERS);
         peers
     }
 
