--- a/crates/roles/src/sidecar/forward.rs
+++ b/crates/roles/src/sidecar/forward.rs
@@ -134,7 +134,9 @@
         while self.in_flight.get() > 0 {
             compio::time::sleep(Duration::from_millis(5)).await;
         }
-        self.state.borrow_mut().upstream = None;
+        // Another upstream may have announced itself during the drain.
+        let mut state = self.state.borrow_mut();
+        state.upstream.take_if(|u| u.leaving);
     }
 
     /// Removes the upstream when its announcements stop; runs until the process stops.
