Try to spare only runs that end within the time of a stop

Change: the limit is the time that a worker may take for a stop, and the candidate relies on estimates for twice that time.

--- a/crates/fleet/src/ledger/preempt.rs
+++ b/crates/fleet/src/ledger/preempt.rs
@@ -20,15 +20,8 @@
 
 /// The number of cores that an accelerator counts as in the cost of a preemption.
 const CORES_PER_GPU: u64 = 8;
-/// A run that is expected to end within this time is not stopped, as its capacity becomes free
-/// almost as soon as by a stop.
-const SPARED_REMAINING: Duration = Duration::from_millis(400);
-/// How long a candidate waits for runs that are expected to end before it preempts them.
-const MAX_SPARING_WAIT: Duration = Duration::from_millis(800);
 /// The least progress, in percent, from which the end of a run is estimated.
 const MIN_ESTIMATE_PERCENT: u64 = 30;
-/// How long after its estimated end a run may still be expected to end soon.
-const ESTIMATE_SLACK: Duration = Duration::from_millis(300);
 /// The longest run time that a stop discards of a task that saves checkpoints.
 const MAX_CHECKPOINT_LOSS: Duration = Duration::from_millis(700);
 
@@ -42,7 +35,7 @@
     cost: u64,
     /// The runs to stop.
     victims: BTreeSet<RunKey>,
-    /// The runs that are expected to end soon, whose resources count as becoming free.
+    /// The runs that are expected to end about as soon as by a stop, whose resources count as becoming free.
     spared: BTreeSet<RunKey>,
     /// The workers as they are once the victims have ended and the tasks are placed.
     slots: Vec<Slot>,
@@ -109,7 +102,8 @@
             slots: slots.to_vec(),
             ..Preemption::default()
         };
-        if candidate.waited < MAX_SPARING_WAIT {
+        // An estimate may be wrong; the candidate does not rely on it for long.
+        if candidate.waited < self.bounds.stop_timeout * 2 {
             self.spare_ending_runs(&mut plan, area, now);
         }
         let mut placed: Vec<(u32, usize)> = Vec::new();
@@ -234,11 +228,12 @@
         }
     }
 
-    /// Counts the resources of runs that are expected to end soon as becoming free.
+    /// Counts the resources of runs that are expected to end about as soon as by a stop as
+    /// becoming free.
     fn spare_ending_runs(&self, plan: &mut Preemption, area: &Area, now: Duration) {
         for slot in plan.slots.iter_mut().filter(|s| in_area(s, area)) {
             for (id, key, run) in self.iter_runs_on(&slot.sidecar) {
-                if !ends_soon(run, now) {
+                if !ends_within(run, self.bounds.stop_timeout, now) {
                     continue;
                 }
                 slot.freeing
@@ -249,10 +244,10 @@
     }
 }
 
-/// Returns whether a run is expected to end soon, by its progress since its start.
+/// Returns whether a run is expected to end within `time`, by its progress since its start.
 ///
 /// The start of a resumed or adopted run is not known.
-fn ends_soon(run: &Run, now: Duration) -> bool {
+fn ends_within(run: &Run, time: Duration, now: Duration) -> bool {
     let known_start = run.phase == Phase::Live && !run.resumed && !run.start_unanswered;
     if !known_start || !(MIN_ESTIMATE_PERCENT..100).contains(&run.percent) {
         return false;
@@ -260,7 +255,7 @@
     let worked = run.progressed_at.saturating_sub(run.phase_since);
     let remaining = worked.mul_f64((100 - run.percent) as f64 / run.percent as f64);
     let end = run.progressed_at + remaining;
-    end <= now + SPARED_REMAINING && now <= end + ESTIMATE_SLACK
+    end <= now + time && now <= end + time
 }
 
 /// Takes resources from those that are free or become free.
