Revert the sparing of runs near their end

Change: the preemption is as before the tries; the test that a guaranteed job preempts a run far from its end at once stays, the two tests of the sparing go with it.

Conclusion: work thrown away is to be lowered by what is placed first, not by waiting.

--- a/crates/fleet/src/ledger/preempt.rs
+++ b/crates/fleet/src/ledger/preempt.rs
@@ -3,7 +3,6 @@
 use super::Decision;
 use super::Ledger;
 use super::Phase;
-use super::Run;
 use super::TaskKey;
 use super::fit::Area;
 use super::fit::Candidate;
@@ -20,8 +19,6 @@
 
 /// The number of cores that an accelerator counts as in the cost of a preemption.
 const CORES_PER_GPU: u64 = 8;
-/// The least progress, in percent, from which the end of a run is estimated.
-const MIN_ESTIMATE_PERCENT: u64 = 30;
 /// The longest run time that a stop discards of a task that saves checkpoints.
 const MAX_CHECKPOINT_LOSS: Duration = Duration::from_millis(700);
 
@@ -35,8 +32,6 @@
     cost: u64,
     /// The runs to stop.
     victims: BTreeSet<RunKey>,
-    /// The runs that are expected to end about as soon as by a stop, whose resources count as becoming free.
-    spared: BTreeSet<RunKey>,
     /// The workers as they are once the victims have ended and the tasks are placed.
     slots: Vec<Slot>,
     /// The slot of each task that is placed.
@@ -102,10 +97,6 @@
             slots: slots.to_vec(),
             ..Preemption::default()
         };
-        // An estimate may be wrong; the candidate does not rely on it for long.
-        if candidate.waited < self.bounds.stop_timeout * 2 {
-            self.spare_ending_runs(&mut plan, area, now);
-        }
         let mut placed: Vec<(u32, usize)> = Vec::new();
         for index in &candidate.indices {
             let mut best: Option<(u64, usize, BTreeSet<RunKey>)> = None;
@@ -118,7 +109,7 @@
                 if !suitable {
                     continue;
                 }
-                let found = self.victims(candidate, classes, slot, &required, &plan, now);
+                let found = self.victims(candidate, classes, slot, &required, &plan.victims, now);
                 let Some((cost, victims)) = found else {
                     continue;
                 };
@@ -144,15 +135,15 @@
     /// Returns the cheapest runs on a worker whose end frees the capacity for a task,
     /// and their cost.
     ///
-    /// Skips the runs that the plan stops already or spares, and long-running tasks, which are
-    /// never preempted.
+    /// Skips the runs in `chosen`, which the plan stops already, and long-running tasks,
+    /// which are never preempted.
     fn victims(
         &self,
         candidate: &Candidate,
         classes: &HashMap<SmolStr, u32>,
         slot: &Slot,
         required: &Resources,
-        plan: &Preemption,
+        chosen: &BTreeSet<RunKey>,
         now: Duration,
     ) -> Option<(u64, BTreeSet<RunKey>)> {
         let mut free = slot.free;
@@ -167,8 +158,7 @@
             let lower = classes.get(&id).is_none_or(|c| *c > candidate.class);
             let active = matches!(phase, Phase::Live | Phase::Ordered | Phase::Planned);
             let long_running = self.jobs.get(&id).is_none_or(|e| e.step(key).long_running);
-            let settled = plan.victims.contains(&run) || plan.spared.contains(&run);
-            if settled || !lower || !active || long_running {
+            if chosen.contains(&run) || !lower || !active || long_running {
                 continue;
             }
             let (cost, members) = self.cost_of(&id, key, now);
@@ -219,43 +209,12 @@
             };
             let run = &entry.runs[&key];
             let slot = plan.slots.iter_mut().find(|s| s.sidecar == run.sidecar);
-            let victim = (id.clone(), key);
-            let counted = plan.victims.contains(&victim) || plan.spared.contains(&victim);
-            if let Some(slot) = slot.filter(|_| !counted) {
+            if let Some(slot) = slot.filter(|_| !plan.victims.contains(&(id.clone(), key))) {
                 slot.freeing.add(&required_resources(entry.step(key)));
             }
-            plan.victims.insert(victim);
+            plan.victims.insert((id, key));
         }
     }
-
-    /// Counts the resources of runs that are expected to end about as soon as by a stop as
-    /// becoming free.
-    fn spare_ending_runs(&self, plan: &mut Preemption, area: &Area, now: Duration) {
-        for slot in plan.slots.iter_mut().filter(|s| in_area(s, area)) {
-            for (id, key, run) in self.iter_runs_on(&slot.sidecar) {
-                if !ends_within(run, self.bounds.stop_timeout, now) {
-                    continue;
-                }
-                slot.freeing
-                    .add(&required_resources(self.jobs[id].step(key)));
-                plan.spared.insert((id.clone(), key));
-            }
-        }
-    }
-}
-
-/// Returns whether a run is expected to end within `time`, by its progress since its start.
-///
-/// The start of a resumed or adopted run is not known.
-fn ends_within(run: &Run, time: Duration, now: Duration) -> bool {
-    let known_start = run.phase == Phase::Live && !run.resumed && !run.start_unanswered;
-    if !known_start || !(MIN_ESTIMATE_PERCENT..100).contains(&run.percent) {
-        return false;
-    }
-    let worked = run.progressed_at.saturating_sub(run.phase_since);
-    let remaining = worked.mul_f64((100 - run.percent) as f64 / run.percent as f64);
-    let end = run.progressed_at + remaining;
-    end <= now + time && now <= end + time
 }
 
 /// Takes resources from those that are free or become free.
--- a/crates/fleet/tests/suite/urgency.rs
+++ b/crates/fleet/tests/suite/urgency.rs
@@ -6,7 +6,6 @@
 use crate::fixtures::worker;
 use hibiscusbarrow_fleet::job::Job;
 use hibiscusbarrow_fleet::job::Step;
-use hibiscusbarrow_fleet::worker::End;
 use std::time::Duration;
 
 /// Time for the placer to poll, plan and have its orders carried out.
@@ -66,45 +65,6 @@
     assert!(cluster.stops.is_empty());
 }
 
-/// Returns a cluster of one worker on which a job of lower priority has run for 4.6 s. A fake
-/// run completes 1 percent in 50 ms.
-fn cluster_with_run_near_its_end() -> crate::fixtures::Cluster {
-    let mut cluster = cluster().with_worker("n1", worker("w1", "r1"));
-    cluster.set_guarantee("agency", 8);
-    cluster.submit(job("low", vec![step(1, 8)]));
-    cluster.advance(Duration::from_millis(4_750));
-    cluster
-}
-
-/// A full fleet on which runs end all the time: a guaranteed job that arrives needs no
-/// preemption if capacity becomes free about as soon as a stopped run would release it.
-#[test]
-fn a_run_near_its_end_is_not_preempted_for_a_guaranteed_job() {
-    let mut cluster = cluster_with_run_near_its_end();
-
-    cluster.submit(urgent("high", vec![step(1, 8)]));
-    cluster.advance(Duration::from_millis(250));
-    cluster.end_run("n1", "low", 0, End::Done);
-    cluster.advance(SETTLE_TIME);
-
-    assert!(cluster.stops.is_empty(), "{:?}", cluster.stops);
-    assert_eq!(cluster.placements("high").len(), 1);
-}
-
-/// The estimate of the end may be wrong; the guarantee then still holds.
-#[test]
-fn a_run_that_outlasts_its_estimate_is_preempted() {
-    let mut cluster = cluster_with_run_near_its_end();
-    let fake = cluster.workers.get_mut("n1").expect("the worker exists");
-    fake.stalled = true;
-
-    cluster.submit(urgent("high", vec![step(1, 8)]));
-    cluster.advance(Duration::from_millis(1_000));
-
-    assert_eq!(cluster.placements("low").len(), 0);
-    assert_eq!(cluster.placements("high").len(), 1);
-}
-
 #[test]
 fn a_run_far_from_its_end_is_preempted_at_once_for_a_guaranteed_job() {
     let mut cluster = cluster().with_worker("n1", worker("w1", "r1"));
