Write records by the age of their change, not by identifier

The trace: a guaranteed job was planned 0.5 s after its acceptance, and its start was sent seconds later. One transaction takes 15 records, one is in flight at a time, and the records were taken in the order of their identifiers from the start each time. On a fleet on which more than 15 records change in the time of a transaction, jobs whose identifiers sort last waited until the others were at rest; most of the changes were checkpoints.

Change: the record with the oldest change is written first; a record with new checkpoints only lets 500 later changes go before it.

Measured: a_start_is_stored_soon_although_more_records_change_than_a_batch_takes fails before and passes.

--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -134,6 +134,9 @@
     changed: u64,
     /// The number of the newest change in the store.
     committed: u64,
+    /// The rank of the oldest change that no write contains; 0 if there is none. The record
+    /// with the lowest rank is written first.
+    unsaved_rank: u64,
     /// Whether a write of the record is in flight.
     writing: bool,
     runs: BTreeMap<TaskKey, Run>,
@@ -441,9 +444,16 @@
 
     /// Marks a record as changed and returns the number of the change.
     fn mark_changed(&mut self, id: &str) -> u64 {
+        self.mark_changed_behind(id, 0)
+    }
+
+    /// Marks a record as changed; up to `places` later changes of other records are written
+    /// before this one. Returns the number of the change.
+    fn mark_changed_behind(&mut self, id: &str, places: u64) -> u64 {
         self.changes += 1;
         if let Some(entry) = self.jobs.get_mut(id) {
             entry.changed = self.changes;
+            entry.rank_unsaved(self.changes + places);
         }
         self.changes
     }
@@ -463,6 +473,7 @@
             revision,
             changed: 0,
             committed: 0,
+            unsaved_rank: 0,
             writing: false,
             runs,
             avoided: HashSet::new(),
@@ -477,6 +488,14 @@
         &self.record.job
     }
 
+    /// Moves the record forward in the order of writes if the rank is lower than its own.
+    fn rank_unsaved(&mut self, rank: u64) {
+        self.unsaved_rank = match self.unsaved_rank {
+            0 => rank,
+            known => known.min(rank),
+        };
+    }
+
     fn step(&self, key: TaskKey) -> &Step {
         &self.record.job.steps[key.1 as usize]
     }
--- a/crates/fleet/src/ledger/supervise.rs
+++ b/crates/fleet/src/ledger/supervise.rs
@@ -18,6 +18,9 @@
 const STALL_TIMEOUT_PERCENT: u32 = 20;
 /// Time for a worker that has left to terminate; then its runs are given up.
 const DEPARTURE_DELAY: Duration = Duration::from_millis(500);
+/// How many later changes of other records are written before a record with new checkpoints
+/// only. Starts wait for their records, checkpoints do not.
+const CHECKPOINT_PLACES: u64 = 500;
 /// How often new checkpoints are copied into the records.
 const CHECKPOINT_SAVE_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -83,7 +86,7 @@
         }
         for (id, key, checkpoint) in unsaved {
             self.store_checkpoint(&id, key, &checkpoint);
-            self.mark_changed(&id);
+            self.mark_changed_behind(&id, CHECKPOINT_PLACES);
         }
     }
 
--- a/crates/fleet/src/ledger/writes.rs
+++ b/crates/fleet/src/ledger/writes.rs
@@ -1,6 +1,7 @@
 //! Batches of records to store, and the starts and acknowledgements that wait for their
 //! commit.
 
+use super::Entry;
 use super::Ledger;
 use super::Phase;
 use crate::record::Record;
@@ -43,21 +44,20 @@
     pub fn take_batch(&mut self, wall: u64) -> Option<Batch> {
         self.mark_ended(wall);
         let mut batch = Batch::default();
-        for (id, entry) in &mut self.jobs {
-            if entry.changed <= entry.committed || entry.writing {
-                continue;
-            }
+        let unsaved = |e: &&mut Entry| e.changed > e.committed && !e.writing;
+        let mut due: Vec<&mut Entry> = self.jobs.values_mut().filter(unsaved).collect();
+        // Without this order, a job whose identifier sorts last would wait while others change.
+        due.sort_by_key(|e| e.unsaved_rank);
+        for entry in due.into_iter().take(MAX_BATCH_RECORDS) {
             entry.writing = true;
+            entry.unsaved_rank = 0;
             batch.writes.push(Write {
-                job: id.clone(),
+                job: entry.record.job.id.clone(),
                 revision: entry.revision,
                 value: Some(entry.record.encode()),
                 ended: entry.record.ended_at > 0,
                 change: entry.changed,
             });
-            if batch.writes.len() == MAX_BATCH_RECORDS {
-                break;
-            }
         }
         (!batch.writes.is_empty()).then_some(batch)
     }
@@ -110,6 +110,7 @@
         for write in &batch.writes {
             if let Some(entry) = self.jobs.get_mut(&write.job) {
                 entry.writing = false;
+                entry.rank_unsaved(write.change);
             }
         }
     }
--- a/crates/fleet/tests/suite/fixtures.rs
+++ b/crates/fleet/tests/suite/fixtures.rs
@@ -232,16 +232,23 @@
 
     /// Commits changed records to the store until none is left.
     pub fn commit_all(&mut self) {
-        while let Some(batch) = self.ledger.take_batch(START_UNIX_MS) {
-            self.revision += 1;
-            for write in &batch.writes {
-                let bytes = write.value.as_ref().expect("no record is deleted");
-                let record = Record::decode(bytes).expect("the record decodes");
-                self.stored
-                    .insert(write.job.clone(), (record, self.revision));
-            }
-            self.ledger.handle_commit(&batch, self.revision, self.now);
+        while self.commit_batch() {}
+    }
+
+    /// Commits the next batch of changed records; returns whether there was one.
+    pub fn commit_batch(&mut self) -> bool {
+        let Some(batch) = self.ledger.take_batch(START_UNIX_MS) else {
+            return false;
+        };
+        self.revision += 1;
+        for write in &batch.writes {
+            let bytes = write.value.as_ref().expect("no record is deleted");
+            let record = Record::decode(bytes).expect("the record decodes");
+            self.stored
+                .insert(write.job.clone(), (record, self.revision));
         }
+        self.ledger.handle_commit(&batch, self.revision, self.now);
+        true
     }
 
     /// Delivers the pending orders to the workers, and their answers to the ledger.
--- a/crates/fleet/tests/suite/order.rs
+++ b/crates/fleet/tests/suite/order.rs
@@ -215,3 +215,37 @@
         }
     }
 }
+
+/// Many jobs end tasks all the time, so that more records change than one transaction takes.
+/// A job must not wait for its start until the records that sort before its own are at rest.
+#[test]
+fn a_start_is_stored_soon_although_more_records_change_than_a_batch_takes() {
+    let busy_jobs = 32;
+    let mut cluster = cluster();
+    for i in 0..busy_jobs {
+        cluster.add_worker(&format!("n{i:02}"), worker(&format!("w{i}"), "r1"));
+        cluster.submit(job(&format!("a{i:02}"), vec![step(8, 1)]));
+        cluster.tick();
+    }
+    cluster.advance(SETTLE_TIME);
+    cluster.add_worker("idle", worker("idle", "r1"));
+    cluster.tick();
+    cluster.submit(job("z", vec![step(1, 8)]));
+
+    for round in 0..4 {
+        for i in 0..busy_jobs {
+            let id = format!("a{i:02}");
+            let (_, sidecar) = cluster.placements(&id)[0].clone();
+            cluster.end_run(&sidecar, &id, round, End::Done);
+        }
+        cluster.now += Duration::from_millis(10);
+        cluster.poll_all();
+        let wall = START_UNIX_MS + cluster.now.as_millis() as u64;
+        cluster.ledger.plan(cluster.now, wall);
+        cluster.commit_batch();
+        cluster.deliver_orders();
+    }
+
+    let started = cluster.starts.iter().any(|(_, s)| s.task.job == "z");
+    assert!(started, "the start of z is not stored after four batches");
+}
