Spare the placer the decoding of its own writes

Each record that it writes came back by the watch, was decoded from JSON, cloned, and dropped; each plan copied the labels of all workers for each rack that it tried.

Change: a written record goes into the cache with its revision, so that the watch's copy is skipped unread; a known revision is not cloned for the ledger; slots share their labels.

The 38 tests of the ledger pass.

--- a/crates/fleet/src/ledger/fit.rs
+++ b/crates/fleet/src/ledger/fit.rs
@@ -11,6 +11,7 @@
 use crate::worker::Resources;
 use smol_str::SmolStr;
 use std::collections::BTreeSet;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// A worker whose last listing is older than this is assigned no work and granted no
@@ -23,7 +24,8 @@
     pub(super) sidecar: SmolStr,
     pub(super) boot: Boot,
     pub(super) rack: SmolStr,
-    labels: Vec<SmolStr>,
+    /// Shared, as plans copy their slots often.
+    labels: Rc<[SmolStr]>,
     service: SmolStr,
     /// Whether a run on the worker failed or stalled since the last success.
     suspect: bool,
@@ -113,7 +115,7 @@
                 sidecar: sidecar.clone(),
                 boot: boot.clone(),
                 rack: worker.rack.clone(),
-                labels: announced.labels.clone(),
+                labels: worker.labels.clone(),
                 service: announced.service.clone(),
                 suspect: worker.health.is_suspect(),
                 slowness: worker.speed.bucket(),
--- a/crates/fleet/src/ledger/listing.rs
+++ b/crates/fleet/src/ledger/listing.rs
@@ -60,6 +60,7 @@
         worker.last_contact = Some(now);
         worker.clock = Some((listing.clock, now));
         worker.rack = rack_label(&announced.labels);
+        worker.labels = announced.labels.as_slice().into();
         worker.announced = Some(announced);
         if draining && !was_draining {
             self.note(
--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -159,6 +159,7 @@
     announced: Option<Announcement>,
     boot: Option<Boot>,
     rack: SmolStr,
+    labels: Rc<[SmolStr]>,
     /// The worker's clock in milliseconds, and when the listing with it arrived.
     clock: Option<(u64, Duration)>,
     /// When the newest listing arrived; none once the worker is known to have left
@@ -350,6 +351,11 @@
         }
     }
 
+    /// Returns whether the stored record of a job is known up to a revision.
+    pub fn knows_revision(&self, id: &str, revision: u64) -> bool {
+        self.jobs.get(id).is_some_and(|e| e.revision >= revision)
+    }
+
     /// Removes a job that was deleted from the store.
     pub fn remove_job(&mut self, id: &str) {
         let Some(entry) = self.jobs.remove(id) else {
@@ -545,6 +551,7 @@
             announced: None,
             boot: None,
             rack: SmolStr::default(),
+            labels: Rc::default(),
             clock: None,
             last_contact: None,
             last_polled: None,
--- a/crates/fleet/src/ledger/writes.rs
+++ b/crates/fleet/src/ledger/writes.rs
@@ -6,6 +6,7 @@
 use super::Phase;
 use crate::record::Record;
 use smol_str::SmolStr;
+use std::rc::Rc;
 use std::time::Duration;
 
 /// The most records of one transaction: the store takes 32 entries, of which each
@@ -30,6 +31,8 @@
     pub revision: u64,
     /// The encoded record; none deletes it.
     pub value: Option<Vec<u8>>,
+    /// The record itself; none deletes it.
+    pub record: Option<Rc<Record>>,
     /// Whether the job reached its final state.
     pub ended: bool,
     /// The number of the newest change that the value contains.
@@ -55,6 +58,7 @@
                 job: entry.record.job.id.clone(),
                 revision: entry.revision,
                 value: Some(entry.record.encode()),
+                record: Some(Rc::new(entry.record.clone())),
                 ended: entry.record.ended_at > 0,
                 change: entry.changed,
             });
@@ -77,6 +81,7 @@
                 job: id.clone(),
                 revision: entry.revision,
                 value: None,
+                record: None,
                 ended: true,
                 change: entry.changed,
             });
--- a/crates/roles/src/fleet/cache.rs
+++ b/crates/roles/src/fleet/cache.rs
@@ -335,6 +335,18 @@
         self.publish(&Change::Job(id.clone()));
     }
 
+    /// Adds a record that the placer of this gateway has written. The watch delivers it again,
+    /// and it is not decoded then.
+    pub fn put_written(&self, id: &SmolStr, record: Rc<Record>, revision: u64) {
+        let mut revisions = self.revisions.borrow_mut();
+        let known = revisions.entry(keys::job(id)).or_default();
+        if *known < revision {
+            *known = revision;
+            let stored = StoredJob { record, revision };
+            self.jobs.borrow_mut().insert(id.clone(), stored);
+        }
+    }
+
     fn publish(&self, change: &Change) {
         let mut subscribers = self.subscribers.borrow_mut();
         subscribers.retain(|s| s.unbounded_send(change.clone()).is_ok());
--- a/crates/roles/src/fleet/placer.rs
+++ b/crates/roles/src/fleet/placer.rs
@@ -4,6 +4,7 @@
 use super::Shared;
 use super::cache::Change;
 use super::cache::StoreCache;
+use super::cache::StoredJob;
 use super::commit::CommitResult;
 use super::commit::commit_batch;
 use super::deliver::deliver;
@@ -229,7 +230,9 @@
     fn handle_change(&mut self, change: Change, now: Duration) {
         match change {
             Change::Job(id) => {
-                if let Some(stored) = self.cache.job(&id) {
+                let stored = self.cache.job(&id);
+                let is_new = |s: &StoredJob| !self.ledger.knows_revision(&id, s.revision);
+                if let Some(stored) = stored.filter(is_new) {
                     let record = (*stored.record).clone();
                     self.ledger.put_job(record, stored.revision, now);
                 }
@@ -500,6 +503,11 @@
         match result {
             CommitResult::Committed(revision) => {
                 self.ledger.handle_commit(batch, revision, now);
+                for write in &batch.writes {
+                    if let Some(record) = &write.record {
+                        self.cache.put_written(&write.job, record.clone(), revision);
+                    }
+                }
                 self.notify_ended(batch, revision);
             }
             CommitResult::LeaseLost => self.lease.lost.raise(),
@@ -533,10 +541,7 @@
         if items.is_empty() {
             return;
         }
-        self.notifier.notify_standbys(items.clone());
-        for item in items {
-            self.cache.apply(&self.shared, item);
-        }
+        self.notifier.notify_standbys(items);
     }
 
     fn handle_conflict(&mut self, item: &Item, now: Duration) {
