Let plans take half of the placer's time at most

Cause: the placer planned after every batch of inputs.

Change: after a plan the placer pauses planning for as long as the plan took. Short plans are hardly delayed.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod budget;
 pub mod clock;
 pub mod drain;
+pub mod duty_cycle;
 pub mod fence;
 pub mod gang;
 pub mod generation;
--- a/crates/roles/src/fleet/placer.rs
+++ b/crates/roles/src/fleet/placer.rs
@@ -22,6 +22,7 @@
 use futures_util::future::Either;
 use futures_util::future::select;
 use hibiscusbarrow_adapters::rpc::RpcClient;
+use hibiscusbarrow_coordination::duty_cycle::DutyCycle;
 use hibiscusbarrow_fleet::ledger::ApprovalRequest;
 use hibiscusbarrow_fleet::ledger::Batch;
 use hibiscusbarrow_fleet::ledger::Decision;
@@ -118,6 +119,8 @@
     planned_changes: u64,
     /// When the last plan was made.
     planned_at: Duration,
+    /// Leaves time for inputs and writes when plans take long.
+    plan_cycle: DutyCycle,
     /// When the gauges were last updated.
     gauges_set_at: Duration,
 }
@@ -153,6 +156,7 @@
         needs_plan: true,
         planned_changes: 0,
         planned_at: now,
+        plan_cycle: DutyCycle::default(),
         gauges_set_at: now,
     };
     placer.load();
@@ -171,7 +175,7 @@
             return;
         }
         let next = select(changes.next(), inputs.next());
-        match select(next, pin!(sleep(MAX_PLAN_INTERVAL))).await {
+        match select(next, pin!(sleep(placer.idle_time()))).await {
             Either::Left((Either::Left((Some(change), _)), _)) => {
                 placer.handle_input(Input::StoreChanged(change));
             }
@@ -253,6 +257,17 @@
         }
     }
 
+    /// Returns how long to wait for an input before the next plan.
+    fn idle_time(&self) -> Duration {
+        let pause = self.plan_cycle.pause(self.shared.clock.now());
+        let is_due = self.needs_plan || self.ledger.changes() != self.planned_changes;
+        if is_due && !pause.is_zero() {
+            pause.min(MAX_PLAN_INTERVAL)
+        } else {
+            MAX_PLAN_INTERVAL
+        }
+    }
+
     /// Returns whether this placer hands over and all its orders and writes are answered, or
     /// have been waited for long enough.
     ///
@@ -273,10 +288,12 @@
         let now = self.shared.clock.now();
         self.publish_gauges(now);
         let wall = self.shared.clock.wall_ms();
-        let may_plan = self.ending_since.is_none() && self.lease.is_held(now);
+        let may_plan =
+            self.ending_since.is_none() && self.lease.is_held(now) && self.plan_cycle.may_run(now);
         let changed = self.needs_plan || self.ledger.changes() != self.planned_changes;
         if may_plan && (changed || now >= self.planned_at + MAX_PLAN_INTERVAL) {
             self.ledger.plan(now, wall);
+            self.plan_cycle.record(now, self.shared.clock.now());
             (self.needs_plan, self.planned_changes, self.planned_at) =
                 (false, self.ledger.changes(), now);
         }
