Ask no caller to stay away for longer than a third of its own limit

Callers of the deployments try for 3 s. A wait by the age of an outage, up to 5 s, sends one away for good that comes in the fourth second of an outage of 4.2 s, though it could be served a second later.

--- a/crates/roles/src/fleet/callers/mod.rs
+++ b/crates/roles/src/fleet/callers/mod.rs
@@ -69,6 +69,8 @@
     version: u64,
     /// When the response must be sent at the latest.
     deadline: Duration,
+    /// How long the caller waits for the response.
+    patience: Duration,
 }
 
 impl CallerService {
@@ -95,7 +97,7 @@
 
     async fn dispatch(&self, request: Request, started_at: Duration) -> (Code, Reply) {
         let Some(manifest) = self.cache.manifest() else {
-            return (Code::NotReady, self.retry_later(503));
+            return (Code::NotReady, self.retry_later(503, DEFAULT_TIMEOUT));
         };
         let admitted = match self.admit(&manifest, &request, started_at) {
             Ok(admitted) => admitted,
@@ -134,6 +136,7 @@
             path_rest: rest.into(),
             version: manifest.version,
             deadline: started_at + caller_timeout.saturating_sub(RESPONSE_MARGIN),
+            patience: caller_timeout,
         })
     }
 
@@ -148,7 +151,7 @@
             Some(count) => (Code::Done, json_reply((self.codec.encode_waiting)(count))),
             None => (
                 Code::StoreDown,
-                self.retry_later(code_status(Code::StoreDown)),
+                self.retry_later(code_status(Code::StoreDown), admitted.patience),
             ),
         }
     }
@@ -162,7 +165,7 @@
         match self.read_record(id, admitted.deadline).await {
             Ok(Some((record, _))) => (Code::Done, self.state_reply(record.state())),
             Ok(None) => (Code::JobUnknown, text_reply(410, "")),
-            Err(code) => (code, self.retry_later(code_status(code))),
+            Err(code) => (code, self.retry_later(code_status(code), admitted.patience)),
         }
     }
 
@@ -184,10 +187,11 @@
         Some(state)
     }
 
-    /// Returns an empty response that says when to retry, by how long the store has been down.
-    fn retry_later(&self, status: u16) -> Reply {
+    /// Returns an empty response that says when to retry, by how long the store has been down and
+    /// how long the caller waits.
+    fn retry_later(&self, status: u16, patience: Duration) -> Reply {
         let outage = self.cache.outage_age(self.shared.clock.now());
-        let wait = during_outage(outage, rand::random());
+        let wait = during_outage(outage, patience, rand::random());
         let mut reply = text_reply(status, "");
         let seconds = wait.as_secs_f64().ceil() as u64;
         let value = HeaderValue::from(seconds);
@@ -222,7 +226,9 @@
                 stored = match self.read_record(id, admitted.deadline).await {
                     Ok(Some(found)) => Some(found),
                     Ok(None) => return (Code::JobUnknown, text_reply(410, "")),
-                    Err(code) => return (code, self.retry_later(code_status(code))),
+                    Err(code) => {
+                        return (code, self.retry_later(code_status(code), admitted.patience));
+                    }
                 };
             }
             let Some((record, revision)) = stored.as_mut() else {
@@ -267,7 +273,7 @@
                 } else {
                     Code::NotAccepted
                 };
-                return (code, self.retry_later(code_status(code)));
+                return (code, self.retry_later(code_status(code), admitted.patience));
             }
             sleep(BACKOFF).await;
         }
--- a/crates/roles/src/fleet/callers/submit.rs
+++ b/crates/roles/src/fleet/callers/submit.rs
@@ -55,7 +55,7 @@
         let id = admitted.path_rest.clone();
         let late = self.shared.clock.now() + MIN_STORE_TIME > admitted.deadline;
         if self.cache.is_store_down() || late {
-            return self.not_accepted(&id);
+            return self.not_accepted(admitted, &id);
         }
         let record = Rc::new(Record::new(job));
         let txn = Txn {
@@ -86,7 +86,7 @@
                 Ok(Outcome::Conflict(items)) => return self.resubmitted(admitted, &record, &items),
                 Err(StoreError::Invalid(detail)) => {
                     self.shared.log.emit(Event::JobRefused, id.clone(), detail);
-                    return self.not_accepted(&id);
+                    return self.not_accepted(admitted, &id);
                 }
                 Ok(Outcome::NoLease) | Err(StoreError::Refused(_) | StoreError::Compacted) => {
                     refusals += 1;
@@ -101,7 +101,7 @@
                 return (Code::AcceptUnknown, text_reply(504, ""));
             }
             if !unconfirmed && (out_of_time || refusals >= MAX_REFUSALS) {
-                return self.not_accepted(&id);
+                return self.not_accepted(admitted, &id);
             }
             sleep(BACKOFF).await;
         }
@@ -119,11 +119,11 @@
 
     /// Responds that a job was not accepted, or that this is unknown if an earlier write
     /// may still take effect.
-    fn not_accepted(&self, id: &str) -> (Code, Reply) {
+    fn not_accepted(&self, admitted: &Admitted, id: &str) -> (Code, Reply) {
         if self.unconfirmed.contains(id, self.shared.clock.now()) {
             (Code::AcceptUnknown, text_reply(504, ""))
         } else {
-            (Code::NotAccepted, self.retry_later(503))
+            (Code::NotAccepted, self.retry_later(503, admitted.patience))
         }
     }
 
