--- a/crates/roles/src/fleet/cache.rs
+++ b/crates/roles/src/fleet/cache/mod.rs
@@ -4,17 +4,21 @@
 //! Only the standbys and the placer follow everything, job records included, as each of them
 //! receives every change of every record. The other gateways ask them for the state of a job.
 
+mod follow;
+
+pub use follow::fetch_from_peers;
+pub use follow::follow;
+
 use super::Shared;
 use super::keys;
 use super::keys::Key;
 use super::port::Item;
 use super::port::Settings;
-use super::port::StoreError;
 use super::registration::GatewayEntry;
 use bytes::Bytes;
 use compio::time::sleep;
+use follow::Feed;
 use futures_channel::mpsc;
-use hibiscusbarrow_adapters::rpc::RpcClient;
 use hibiscusbarrow_coordination::succession;
 use hibiscusbarrow_coordination::succession::Candidate;
 use hibiscusbarrow_coordination::succession::STANDBYS;
@@ -22,42 +26,18 @@
 use hibiscusbarrow_fleet::record::Record;
 use hibiscusbarrow_fleet::record::State;
 use hibiscusbarrow_model::event::Event;
-use rand::seq::SliceRandom;
 use smol_str::SmolStr;
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-/// How long a watch waits for a change.
-const WATCH_WAIT: Duration = Duration::from_millis(1_200);
-/// The pause between two watches of everything, which collects the changes of that time in one
-/// answer. Gateways notify the placer of new jobs without the watch.
-const WATCH_PAUSE: Duration = Duration::from_millis(20);
-/// How often a feed that is not followed checks whether it should be.
-const IDLE_INTERVAL: Duration = Duration::from_millis(100);
-/// The mean delay before keys are listed again because the store has dropped its history. It
-/// spreads the listings of many gateways, and limits them while the store keeps no history.
-const RESYNC_DELAY: Duration = Duration::from_millis(250);
-/// The delay after a failed call to the store.
-const RETRY_DELAY: Duration = Duration::from_millis(150);
-/// How often a feed checks whether the store has answered a probe.
-const DOWN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// The time between two probes of a store that does not answer.
 const PROBE_INTERVAL: Duration = Duration::from_millis(100);
-/// The cache may be out of date if its last successful update is older than this.
-const MAX_AGE: Duration = Duration::from_millis(2_200);
-/// The time between two requests to peers for a newer manifest.
-const PEER_INTERVAL: Duration = Duration::from_millis(400);
-/// The number of peers that are asked in one round.
-const PEERS_PER_ROUND: usize = 3;
 /// The most ended jobs whose states a gateway keeps without their records.
 const MAX_ENDED_STATES: usize = 16_384;
-/// The time that a peer may take to answer.
-const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// A change of the cache that the placer must handle.
 #[derive(Clone, Debug)]
@@ -83,32 +63,6 @@
     pub revision: u64,
 }
 
-/// The keys with one prefix, as far as they are followed.
-struct Feed {
-    prefix: SmolStr,
-    /// The revision of the store that the cache includes for these keys.
-    revision: Cell<u64>,
-    /// Whether the keys were listed completely, so that a watch can continue from that listing.
-    synced: Cell<bool>,
-    /// When the last successful call that updates the cache was sent.
-    confirmed_at: Cell<Option<Duration>>,
-}
-
-impl Feed {
-    fn new(prefix: impl Into<SmolStr>) -> Rc<Self> {
-        Rc::new(Self {
-            prefix: prefix.into(),
-            revision: Cell::new(0),
-            synced: Cell::new(false),
-            confirmed_at: Cell::new(None),
-        })
-    }
-
-    fn is_fresh(&self, now: Duration) -> bool {
-        self.synced.get() && self.confirmed_at.get().is_some_and(|at| now < at + MAX_AGE)
-    }
-}
-
 /// The cache of the store's content in one gateway.
 pub struct StoreCache {
     /// The name of this gateway.
@@ -131,7 +85,7 @@
     placing: Cell<bool>,
     /// The feed of all keys.
     everything: Rc<Feed>,
-    /// The feeds of the directory.
+    /// The feeds of the directory: the manifest, the gateways and the placer.
     directory: [Rc<Feed>; 3],
     manifest: RefCell<Option<Rc<Manifest>>>,
     /// The manifest as stored.
@@ -217,7 +171,8 @@
     /// Returns the position of this gateway in the order of succession; none before the
     /// registered gateways are known.
     pub fn rank(&self) -> Option<usize> {
-        if !self.directory[1].synced.get() && !self.everything.synced.get() {
+        let [_, gateways, _] = &self.directory;
+        if !gateways.synced.get() && !self.everything.synced.get() {
             return None;
         }
         let order = self.succession.borrow();
@@ -490,48 +445,6 @@
             .borrow_mut()
             .retain(|key, _| !matches!(keys::parse(key), Key::Job(_) | Key::Worker(_)));
     }
-
-    /// Lists the keys of a feed and removes cached items that the store no longer has.
-    async fn resync(&self, shared: &Shared, feed: &Feed) -> Result<(), StoreError> {
-        let mut after = SmolStr::default();
-        let mut first = None;
-        let mut listed: HashSet<SmolStr> = HashSet::new();
-        loop {
-            let page = (shared.store.list)((feed.prefix.clone(), after.clone())).await?;
-            first.get_or_insert(page.revision);
-            let last = page.items.last().map(|i| i.key.clone());
-            for item in page.items {
-                listed.insert(item.key.clone());
-                self.apply(shared, item);
-            }
-            match last.filter(|_| page.has_more) {
-                Some(key) => after = key,
-                None => break,
-            }
-        }
-        let revision = first.unwrap_or(0);
-        let outdated = |(key, known): &(&SmolStr, &u64)| {
-            **known < revision && key.starts_with(feed.prefix.as_str()) && !listed.contains(*key)
-        };
-        let deleted: Vec<SmolStr> = {
-            let revisions = self.revisions.borrow();
-            let keys = revisions.iter().filter(outdated);
-            keys.map(|(key, _)| key.clone()).collect()
-        };
-        for key in deleted {
-            let item = Item {
-                key,
-                value: None,
-                revision,
-            };
-            self.apply(shared, item);
-        }
-        feed.revision.set(revision);
-        // The records may have been released during the listing.
-        let is_kept = !feed.prefix.is_empty() || self.follows_records();
-        feed.synced.set(is_kept);
-        Ok(())
-    }
 }
 
 fn log_unreadable(shared: &Shared, name: SmolStr, item: &Item) {
@@ -545,91 +458,3 @@
         cache.down_since.set(None);
     }
 }
-
-/// Keeps the cache current until the process ends.
-pub async fn follow(shared: Rc<Shared>, cache: Rc<StoreCache>) {
-    for feed in cache.directory.clone() {
-        let (shared, cache) = (shared.clone(), cache.clone());
-        compio::runtime::spawn(async move {
-            loop {
-                if cache.has_fresh_records(shared.clock.now()) {
-                    sleep(IDLE_INTERVAL).await;
-                } else {
-                    advance(&shared, &cache, &feed).await;
-                }
-            }
-        })
-        .detach();
-    }
-    let feed = cache.everything.clone();
-    loop {
-        if cache.follows_records() {
-            advance(&shared, &cache, &feed).await;
-            sleep(WATCH_PAUSE).await;
-        } else {
-            sleep(IDLE_INTERVAL).await;
-        }
-    }
-}
-
-/// Makes one call that brings a feed up to date.
-async fn advance(shared: &Rc<Shared>, cache: &Rc<StoreCache>, feed: &Feed) {
-    let sent = shared.clock.now();
-    let result = if feed.synced.get() {
-        watch_once(shared, cache, feed).await
-    } else {
-        cache.resync(shared, feed).await
-    };
-    match result {
-        Ok(()) => feed.confirmed_at.set(Some(sent)),
-        Err(StoreError::Compacted) => {
-            let detail = format!(
-                "prefix={:?} after={} the store no longer has this history; listing it again",
-                feed.prefix,
-                feed.revision.get()
-            );
-            shared.log.emit(Event::MirrorReset, "store", detail);
-            feed.synced.set(false);
-            sleep(RESYNC_DELAY.mul_f64(rand::random_range(0.5..1.5))).await;
-        }
-        Err(e) => {
-            cache.handle_store_failure(shared, &e.to_string());
-            sleep(RETRY_DELAY).await;
-            // One probe for all feeds finds out when the store is back.
-            while cache.is_store_down() {
-                sleep(DOWN_CHECK_INTERVAL).await;
-            }
-        }
-    }
-}
-
-/// Waits for changes once and applies them.
-async fn watch_once(shared: &Shared, cache: &StoreCache, feed: &Feed) -> Result<(), StoreError> {
-    let page = (shared.store.watch)((feed.prefix.clone(), feed.revision.get(), WATCH_WAIT)).await?;
-    for item in page.items {
-        cache.apply(shared, item);
-    }
-    feed.revision.set(page.revision.max(feed.revision.get()));
-    Ok(())
-}
-
-/// Requests a newer manifest from a few other gateways at a time while the cache is out of
-/// date.
-pub async fn fetch_from_peers(shared: Rc<Shared>, cache: Rc<StoreCache>, rpc: Rc<RpcClient>) {
-    loop {
-        sleep(PEER_INTERVAL).await;
-        if cache.is_fresh(shared.clock.now()) {
-            continue;
-        }
-        let mut peers = cache.peer_addrs();
-        peers.shuffle(&mut rand::rng());
-        for addr in peers.into_iter().take(PEERS_PER_ROUND) {
-            let version = cache.manifest().map_or(0, |m| m.version);
-            match rpc.config(addr, version, PEER_TIMEOUT).await {
-                Ok(Some((_, raw))) => cache.apply_manifest(&shared, &raw, &addr.to_string()),
-                Ok(None) => {}
-                Err(_) => rpc.disconnect(addr),
-            }
-        }
-    }
-}
