--- a/crates/roles/src/fleet/election.rs
+++ b/crates/roles/src/fleet/election.rs
@@ -28,7 +28,7 @@
 const RENEW_INTERVAL: Duration = Duration::from_millis(300);
 /// The time between two checks whether the lease is free.
 const CHECK_INTERVAL: Duration = Duration::from_millis(50);
-/// How often a placer that is no standby looks for a standby that could replace it.
+/// How often a placer that is not a standby looks for a standby that could replace it.
 const STANDBY_CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// The delay after a failed attempt to acquire the lease.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
--- a/crates/roles/src/fleet/placer.rs
+++ b/crates/roles/src/fleet/placer.rs
@@ -103,7 +103,7 @@
     writing: bool,
     /// The orders that are not answered yet.
     open_orders: usize,
-    /// When this placer began to hand over.
+    /// When this placer began to wind down, so that another one can take over.
     ending_since: Option<Duration>,
     /// Effects that wait for the lease to be renewed.
     queued_effects: VecDeque<Effect>,
