--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -21,6 +21,10 @@
 const OUTAGE: Duration = Duration::from_millis(4_500);
 /// How long a killed process is away.
 const KILLED: Duration = Duration::from_secs(3);
+/// The jobs beside one that can never be done; its share stays below 0.05.
+const ORDINARY_JOBS: usize = 20;
+/// The occurrences of a job that runs each second for a month and a half.
+const REPEATS: u64 = 4_000_000;
 /// `finish_s`: jobs are asked for this long after the end of the traffic.
 const FINISH: Duration = Duration::from_secs(14);
 /// The time for which a job must not stand still.
@@ -41,6 +45,7 @@
         "reserve" => reserved_for_good(trouble, record),
         "wide" => wide_job(trouble, record),
         "pending" => refused_start(trouble, record),
+        "repeat" => repeated_job(trouble, record),
         _ => Err(format!("there is no case {name}")),
     }
 }
@@ -92,6 +97,22 @@
     }
 }
 
+/// The tasks of a small job.
+const SMALL: Tasks = Tasks {
+    count: 3,
+    size: Room {
+        cpu: 2_000,
+        mem: 1_000,
+        gpu: 1,
+    },
+    declared: 2_000,
+    time: 2_000,
+    long_running: false,
+    spread: 0,
+    label: "",
+    steps: 0,
+};
+
 fn seconds(s: f64) -> Duration {
     Duration::from_secs_f64(s)
 }
@@ -484,3 +505,34 @@
     fleet.state("quote", TENANT_A, &id);
     Ok(())
 }
+
+/// A job that repeats many times has a start time in seconds instead of milliseconds.
+fn repeated_job(trouble: bool, record: Record) -> Result<(), String> {
+    let mut fleet = Fleet::start(3, ROOM, record)?;
+    for _ in 0..ORDINARY_JOBS {
+        submit(&mut fleet, "quote", TENANT_B, SMALL)?;
+    }
+    sleep(seconds(5.0));
+    let repeats = if trouble { REPEATS } else { 10 };
+    let spec = "cpu=500 mem=256 gpu=0 ms=900";
+    let body = format!(
+        "{{\"spec\":\"{spec}\",\"steps\":[{{\"count\":1,\"cpu\":500,\"mem-mb\":256,\
+         \"estimated-ms\":900}}],\"start-at-ms\":1796000000,\"interval-ms\":1000,\
+         \"repeat-count\":{repeats}}}"
+    );
+    fleet
+        .submit("quote", TENANT_B, &body)
+        .ok_or("the job was not accepted")?;
+    sleep(seconds(5.0));
+    let mut jobs = Vec::new();
+    for _ in 0..2 {
+        jobs.push((submit(&mut fleet, "plan", TENANT_A, SMALL)?, SMALL));
+        sleep(seconds(0.5));
+    }
+    fleet.note_memory();
+    sleep(FINISH);
+    fleet.note_memory();
+    let end = fleet.record.now() + seconds(15.0);
+    check_standstill(&mut fleet, "plan", TENANT_A, &jobs, end);
+    Ok(())
+}
--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -272,6 +272,20 @@
         Ok(())
     }
 
+    /// Notes the memory that each gateway uses and used at most; `memory-mb` is 260.
+    pub fn note_memory(&self) {
+        for process in self.processes.iter().filter(|p| p.command == "serve") {
+            let path = format!("/proc/{}/status", process.child.id());
+            let text = std::fs::read_to_string(path).unwrap_or_default();
+            let lines = text
+                .lines()
+                .filter(|l| l.starts_with("VmRSS") || l.starts_with("VmHWM"));
+            let lines: Vec<String> = lines.map(|l| l.replace('\t', " ")).collect();
+            self.record
+                .note(&process.name, &format!("memory: {}", lines.join(", ")));
+        }
+    }
+
     /// Notes the last lines of the logs of all processes.
     pub fn keep_logs(&self, lines: usize) {
         for process in &self.processes {
