--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -249,10 +249,11 @@
     while fleet.record.now() < end {
         let now = fleet.record.now();
         let total: u64 = fleet.runners.iter().map(|_| ROOM.cpu).sum();
-        let used: u64 = fleet.runners.iter().map(|r| r.cpu_used()).sum();
+        let used: u64 = fleet.runners.iter().map(|r| r.used().cpu).sum();
         for (index, (id, tasks)) in jobs.iter().enumerate() {
             let (working, done) = fleet.record.progress(id);
-            let room = total - used >= tasks.size.cpu * 2 && used * 2 < total;
+            let fits: u64 = fleet.runners.iter().map(|r| r.fits(tasks.size)).sum();
+            let room = fits >= 2 && used * 2 < total;
             if working > 0 || done >= tasks.count as usize || !room {
                 since[index] = now;
             }
