Forget the departure of a worker that answers again

Cause: Worker::departed keeps the identifier of the incarnation that left. Nothing cleared it, and expire_runs gives up all runs whose incarnation has that identifier.

Change: a listing that the ledger accepts ends the departure. Polls of one worker follow each other, so that such a listing is newer than the notice.

--- a/crates/fleet/src/ledger/listing.rs
+++ b/crates/fleet/src/ledger/listing.rs
@@ -58,6 +58,8 @@
         };
         let was_draining = worker.announced.as_ref().is_some_and(|a| a.draining);
         worker.last_contact = Some(now);
+        // A worker that answers has not left, or has started again under its identifier.
+        worker.departed = None;
         worker.clock = Some((listing.clock, now));
         worker.rack = rack_label(&announced.labels);
         worker.labels = announced.labels.as_slice().into();
--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -180,7 +180,8 @@
     orphan_stops: HashMap<(TaskId, u64), Duration>,
     health: health::Health,
     speed: speed::Speed,
-    /// The identifier of the incarnation that has left, and when that became known.
+    /// The identifier of the incarnation that has left, and when that became known; none once
+    /// the worker answers again.
     departed: Option<(SmolStr, Duration)>,
 }
 
--- a/crates/fleet/tests/suite/departures.rs
+++ b/crates/fleet/tests/suite/departures.rs
@@ -53,6 +53,33 @@
     assert_eq!(cluster.starts.len(), 2);
 }
 
+/// Guards against a departure that still counts after the worker has started again under the
+/// same identifier: every run placed there was given up at once and started elsewhere.
+#[test]
+fn runs_on_a_worker_that_returns_under_its_identifier_are_kept() {
+    let mut cluster = cluster()
+        .with_worker("n1", worker("w1", "r1"))
+        .with_worker("n2", worker("w2", "r1"));
+    cluster.advance(SETTLE_TIME);
+    let leaving = cluster.workers.get_mut("n1").expect("the worker exists");
+    leaving.reachable = false;
+    cluster
+        .ledger
+        .handle_departure(&"n1".into(), &"w1".into(), cluster.now);
+    cluster.advance(Duration::from_secs(3));
+    let returning = cluster.workers.get_mut("n1").expect("the worker exists");
+    returning.restart("w1");
+    returning.reachable = true;
+    cluster.advance(SETTLE_TIME);
+
+    cluster.submit(job("j", vec![step(2, 8)]));
+    cluster.advance(Duration::from_secs(3));
+
+    assert_eq!(cluster.placements("j").len(), 2);
+    assert_eq!(cluster.starts.len(), 2);
+    assert!(cluster.stops.is_empty(), "{:?}", cluster.stops);
+}
+
 #[test]
 fn a_batch_fits_into_one_store_transaction() {
     const MAX_TXN_ENTRIES: usize = 32;
