Plan a bounded number of due occurrences of one job

Cause: Ledger::candidates builds and sorts one candidate for every due occurrence. A plan took seconds, the placer could not renew its lease, and the next gateway did the same. The record also keeps the progress of every occurrence until the job ends, so that the store would refuse it after some ten thousand.

Change: a plan takes the first 100 due occurrences of a job that have tasks to start, and the record replaces the progress of completed occurrences by ranges of their numbers. Running and completed occurrences do not count against the 100, so that a job may have any number of them at work. Records with less than 1,000 tasks stay as they were, for versions that do not know the ranges.

--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -170,6 +170,11 @@
         Ok(())
     }
 
+    /// Returns the number of tasks of one occurrence.
+    pub fn tasks(&self) -> u64 {
+        self.steps.iter().map(|s| u64::from(s.count)).sum()
+    }
+
     /// Returns the number of occurrences.
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |s| s.count.max(1))
--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -495,6 +495,18 @@
         &self.record.job
     }
 
+    /// Compacts the record, and forgets what is known of the occurrences that are done.
+    fn compact(&mut self) {
+        if !self.record.compact() {
+            return;
+        }
+        let compacted = &self.record.compacted;
+        self.counted_failures.retain(|k| !compacted.contains(k.0));
+        self.approvals.retain(|k, _| !compacted.contains(k.0));
+        self.ready_since.retain(|k, _| !compacted.contains(k.0));
+        self.biases.retain(|k, _| !compacted.contains(k.0));
+    }
+
     /// Moves the record forward in the order of writes if the rank is lower than its own.
     fn rank_unsaved(&mut self, rank: u64) {
         self.unsaved_rank = match self.unsaved_rank {
--- a/crates/fleet/src/ledger/orders.rs
+++ b/crates/fleet/src/ledger/orders.rs
@@ -68,7 +68,7 @@
         let passed = (now - read_at) * (100 - super::CLOCK_DRIFT_PERCENT) / 100;
         let expiry = now + with_clock_drift(lease) + MAX_GRANT_DELIVERY;
         worker.lease_end = worker.lease_end.max(expiry);
-        Some(clock + (passed + lease).as_millis() as u64)
+        Some(clock.saturating_add((passed + lease).as_millis() as u64))
     }
 
     /// Logs that a worker did not answer a status poll.
--- a/crates/fleet/src/ledger/pace.rs
+++ b/crates/fleet/src/ledger/pace.rs
@@ -47,7 +47,9 @@
                 continue;
             }
             let step = self.jobs[id].step(key);
-            if let Some(latency_percent) = (run.load * 100).checked_div(step.max_latency) {
+            if let Some(latency_percent) =
+                run.load.saturating_mul(100).checked_div(step.max_latency)
+            {
                 worst = worst.max(Some(latency_percent));
             } else if step.best_effort {
                 best_effort.push((id.clone(), key));
--- a/crates/fleet/src/ledger/plan.rs
+++ b/crates/fleet/src/ledger/plan.rs
@@ -28,6 +28,10 @@
 /// The most steps that have workers reserved at the same time.
 const MAX_RESERVATIONS: usize = 2;
 
+/// The most due occurrences of one job with tasks to start that a plan considers; the others
+/// wait until tasks of these have started.
+const MAX_WAITING_OCCURRENCES: usize = 100;
+
 /// The share of its declared run time that a task takes at least, in percent; declared
 /// run times are off by half in either direction.
 const MIN_RUNTIME_PERCENT: u64 = 70;
@@ -133,6 +137,7 @@
             let Some(class) = classes.get(id) else {
                 continue;
             };
+            entry.compact();
             let Entry {
                 record,
                 runs,
@@ -140,10 +145,16 @@
                 ..
             } = entry;
             let job = &record.job;
-            for occurrence in 0..job.occurrences() {
-                if job.schedule.is_some() && wall < job.due(occurrence) {
+            let mut waiting = 0;
+            let mut next = 0;
+            while waiting < MAX_WAITING_OCCURRENCES {
+                let occurrence = record.compacted.next_missing(next);
+                let due = job.schedule.is_none() || wall >= job.due(occurrence);
+                if occurrence >= job.occurrences() || !due {
                     break;
                 }
+                next = occurrence + 1;
+                let found_before = found.len();
                 for (step_index, step) in job.steps.iter().enumerate() {
                     let step_index = step_index as u32;
                     if step.after.iter().any(|a| !record.step_done(occurrence, *a)) {
@@ -170,6 +181,7 @@
                         waited: now.saturating_sub(since),
                     });
                 }
+                waiting += usize::from(found.len() > found_before);
             }
         }
         found.sort_by(|a, b| {
--- a/crates/fleet/src/ledger/preempt.rs
+++ b/crates/fleet/src/ledger/preempt.rs
@@ -123,7 +123,7 @@
                 }
                 break;
             };
-            plan.cost += cost;
+            plan.cost = plan.cost.saturating_add(cost);
             self.release_victims(&mut plan, victims);
             reserve_freeing(&mut plan.slots[slot_index], &required);
             plan.used.push(slot_index);
@@ -165,7 +165,7 @@
             options.push((cost, required_resources(self.jobs[&id].step(key)), members));
         }
         options.sort_by_key(|o| o.0 / (1 + o.1.gpus));
-        let mut total = 0;
+        let mut total: u64 = 0;
         for (cost, freed, members) in options {
             if free.covers(required) {
                 break;
@@ -174,7 +174,7 @@
                 continue;
             }
             free.add(&freed);
-            total += cost;
+            total = total.saturating_add(cost);
             victims.extend(members);
         }
         free.covers(required).then_some((total, victims))
@@ -187,7 +187,8 @@
         let step = entry.step(key);
         let same = |k: &TaskKey| *k == key || (step.gang && (k.0, k.1) == (key.0, key.1));
         let members: Vec<TaskKey> = entry.runs.keys().copied().filter(same).collect();
-        let weight = step.cpu / 1_000 + step.gpus * CORES_PER_GPU;
+        let gpu_weight = step.gpus.saturating_mul(CORES_PER_GPU);
+        let weight = gpu_weight.saturating_add(step.cpu / 1_000);
         let discarded = |k: &TaskKey| {
             let age = now.saturating_sub(entry.runs[k].planned_at);
             let age = if step.checkpoints {
@@ -195,9 +196,9 @@
             } else {
                 age
             };
-            1 + weight * age.as_millis() as u64 / 1_000
+            1 + weight.saturating_mul(age.as_millis() as u64) / 1_000
         };
-        let cost = members.iter().map(discarded).sum();
+        let cost = members.iter().map(discarded).fold(0, u64::saturating_add);
         (cost, members.into_iter().map(|k| (id.clone(), k)).collect())
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,5 +19,6 @@
 pub mod job;
 pub mod ledger;
 pub mod manifest;
+pub mod occurrences;
 pub mod record;
 pub mod worker;
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -1,6 +1,7 @@
 //! The stored record of a job.
 
 use crate::job::Job;
+use crate::occurrences::Occurrences;
 use crate::worker::Boot;
 use serde::Deserialize;
 use serde::Serialize;
@@ -24,8 +25,19 @@
     /// sorted.
     #[serde(default)]
     pub tasks: Vec<(u32, u32, u32, Progress)>,
+    /// Occurrences of which all tasks are done and whose progress was removed.
+    #[serde(
+        default,
+        rename = "completed",
+        skip_serializing_if = "Occurrences::is_empty"
+    )]
+    pub compacted: Occurrences,
 }
 
+/// The number of tasks with progress from which a record is compacted. Versions that do not
+/// know compacted records can still read those of jobs with fewer tasks.
+const MIN_COMPACTED_TASKS: usize = 1_000;
+
 /// The progress of one task.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default)]
@@ -99,6 +111,7 @@
             failed: false,
             ended_at: 0,
             tasks: Vec::new(),
+            compacted: Occurrences::default(),
         }
     }
 
@@ -123,6 +136,9 @@
 
     /// Returns whether every task of a step of an occurrence is done.
     pub fn step_done(&self, occurrence: u32, step: u32) -> bool {
+        if self.compacted.contains(occurrence) {
+            return true;
+        }
         let first = self
             .tasks
             .partition_point(|t| (t.0, t.1) < (occurrence, step));
@@ -136,8 +152,33 @@
     /// Returns whether every task of every occurrence is done.
     pub fn all_done(&self) -> bool {
         let done = self.tasks.iter().filter(|t| t.3.done).count() as u64;
-        let per_occurrence: u64 = self.job.steps.iter().map(|s| u64::from(s.count)).sum();
-        done >= per_occurrence * u64::from(self.job.occurrences())
+        let per_occurrence = self.job.tasks();
+        done + per_occurrence * self.compacted.len()
+            >= per_occurrence * u64::from(self.job.occurrences())
+    }
+
+    /// Replaces the progress of occurrences of which all tasks are done by their numbers.
+    ///
+    /// Does nothing while the progress of few tasks is kept. Returns whether the record has
+    /// changed.
+    pub fn compact(&mut self) -> bool {
+        if self.tasks.len() < MIN_COMPACTED_TASKS {
+            return false;
+        }
+        let per_occurrence = self.job.tasks();
+        let mut done = Vec::new();
+        for of_occurrence in self.tasks.chunk_by(|a, b| a.0 == b.0) {
+            let count = of_occurrence.iter().filter(|t| t.3.done).count() as u64;
+            if count >= per_occurrence {
+                done.push(of_occurrence[0].0);
+            }
+        }
+        for occurrence in &done {
+            self.compacted.insert(*occurrence);
+        }
+        let compacted = &self.compacted;
+        self.tasks.retain(|t| !compacted.contains(t.0));
+        !done.is_empty()
     }
 
     /// Returns whether the job is over, so that no task may start any more.
@@ -153,7 +194,7 @@
             State::Cancelled
         } else if self.failed {
             State::Failed
-        } else if self.tasks.iter().any(|t| t.3.run > 0) {
+        } else if !self.compacted.is_empty() || self.tasks.iter().any(|t| t.3.run > 0) {
             State::Running
         } else {
             State::Queued
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -52,11 +52,11 @@
         self.gpus = self.gpus.saturating_sub(other.gpus);
     }
 
-    /// Adds resources.
+    /// Adds resources; each stops at the largest number.
     pub fn add(&mut self, other: &Resources) {
-        self.cpu += other.cpu;
-        self.memory += other.memory;
-        self.gpus += other.gpus;
+        self.cpu = self.cpu.saturating_add(other.cpu);
+        self.memory = self.memory.saturating_add(other.memory);
+        self.gpus = self.gpus.saturating_add(other.gpus);
     }
 }
 
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod features;
 mod fixtures;
 mod model;
+mod occurrences;
 mod order;
 mod rules;
 mod takeover;
