Keep sums of a client's figures from overflowing

Callers: a job whose due time, declared run time or resources lie near the largest number of their type makes the placer's sums overflow. A build with overflow checks ends the process (a release build wraps, and gives the job a wrong place in the order).

Evidence: figures_at_the_limits_of_their_types_neither_overflow_nor_hold_up_other_jobs panicked before the change (plan.rs, attempt to add with overflow).

Change: they saturate.

--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -183,7 +183,8 @@
     /// Returns when an occurrence is due, in milliseconds since the Unix epoch.
     pub fn due(&self, occurrence: u32) -> u64 {
         let schedule = self.schedule.unwrap_or_default();
-        schedule.start + schedule.interval * u64::from(occurrence)
+        let offset = schedule.interval.saturating_mul(u64::from(occurrence));
+        schedule.start.saturating_add(offset)
     }
 
     /// Returns when an occurrence should have ended, in milliseconds since the Unix
@@ -197,20 +198,24 @@
         } else {
             self.accepted_at
         };
-        start + self.critical_path(0) * objective.stretch_percent / 100 + objective.base_ms
+        let path = self.critical_path(0);
+        let stretched = path.saturating_mul(objective.stretch_percent) / 100;
+        start
+            .saturating_add(stretched)
+            .saturating_add(objective.base_ms)
     }
 
     /// Returns the length of the critical path from a step on, in milliseconds: the
     /// longest chain of declared run times that starts with the step. From step 0 it
     /// covers the whole job.
     pub fn critical_path(&self, from: usize) -> u64 {
-        let mut ends = vec![0; self.steps.len()];
+        let mut ends = vec![0_u64; self.steps.len()];
         let mut longest = 0;
         for (i, step) in self.steps.iter().enumerate().skip(from) {
             let ready = step.after.iter().map(|a| ends[*a as usize]).max();
             let follows = i == from || from == 0 || ready.is_some_and(|end| end > 0);
             if follows {
-                ends[i] = ready.unwrap_or(0) + step.runtime.max(1);
+                ends[i] = ready.unwrap_or(0).saturating_add(step.runtime.max(1));
                 longest = longest.max(ends[i]);
             }
         }
@@ -221,7 +226,7 @@
     pub fn accelerators(&self) -> u64 {
         let steps = self.steps.iter();
         steps
-            .map(|s| s.gpus * u64::from(s.count))
+            .map(|s| s.gpus.saturating_mul(u64::from(s.count)))
             .max()
             .unwrap_or(0)
     }
--- a/crates/fleet/src/ledger/plan.rs
+++ b/crates/fleet/src/ledger/plan.rs
@@ -109,10 +109,10 @@
         let mut classes = HashMap::new();
         for entry in open {
             let job = entry.job();
-            let mut class = BEYOND_GUARANTEE + job.priority;
+            let mut class = BEYOND_GUARANTEE.saturating_add(job.priority);
             if job.priority == 0 {
                 let sum = used.entry(job.account.clone()).or_default();
-                *sum += job.accelerators();
+                *sum = sum.saturating_add(job.accelerators());
                 if *sum <= self.manifest.guaranteed(&job.account) {
                     class = GUARANTEED;
                 }
@@ -167,11 +167,11 @@
                     }
                     let since = *ready_since.entry((occurrence, step_index)).or_insert(now);
                     let deadline = job.deadline(occurrence);
-                    let remaining =
-                        job.critical_path(step_index as usize) * MIN_RUNTIME_PERCENT / 100;
+                    let path = job.critical_path(step_index as usize);
+                    let remaining = path.saturating_mul(MIN_RUNTIME_PERCENT) / 100;
                     found.push(Candidate {
                         class: *class,
-                        late: wall + remaining > deadline,
+                        late: wall.saturating_add(remaining) > deadline,
                         deadline,
                         accepted_at: job.accepted_at,
                         job: id.clone(),
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod departures;
 mod features;
+mod figures;
 mod fixtures;
 mod model;
 mod occurrences;
