Refuse a job of more tasks than a record can hold

Callers: a job of 1,000 steps with 10,000 tasks each was accepted.

Cause: the number of tasks was limited for each step, not for the job.

Change: more than 30,000 tasks in all steps together are refused with 400, with the number found and the limit. The progress of a task that is done takes 30 bytes, and the store holds values of 1 MiB.

Result: a_job_of_more_tasks_than_a_record_holds_is_invalid passes; it cannot be built on the code before, which has no such limit.

--- a/crates/fleet/src/job.rs
+++ b/crates/fleet/src/job.rs
@@ -10,6 +10,9 @@
 pub const MAX_STEP_TASKS: u32 = 10_000;
 /// The most steps of one job.
 pub const MAX_STEPS: usize = 1_000;
+/// The most tasks of all steps of one job together. A store that holds values of up to 1 MiB
+/// cannot hold the progress of more.
+pub const MAX_JOB_TASKS: u64 = 30_000;
 
 /// A job of one or more steps, each with one or more tasks.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -167,6 +170,12 @@
                 return Err(format!("steps[{i}].after: must name earlier steps only"));
             }
         }
+        let tasks = self.tasks();
+        if tasks > MAX_JOB_TASKS {
+            return Err(format!(
+                "steps: have {tasks} tasks together, must have at most {MAX_JOB_TASKS}"
+            ));
+        }
         Ok(())
     }
 
--- a/crates/fleet/tests/suite/figures.rs
+++ b/crates/fleet/tests/suite/figures.rs
@@ -5,6 +5,8 @@
 use crate::fixtures::step;
 use crate::fixtures::worker;
 use hibiscusbarrow_fleet::job::Job;
+use hibiscusbarrow_fleet::job::MAX_JOB_TASKS;
+use hibiscusbarrow_fleet::job::MAX_STEP_TASKS;
 use hibiscusbarrow_fleet::job::Objective;
 use hibiscusbarrow_fleet::job::Schedule;
 use hibiscusbarrow_fleet::job::Step;
@@ -58,3 +60,18 @@
     assert_eq!(cluster.placements("other").len(), 3);
     assert_eq!(cluster.starts.len(), 3);
 }
+
+/// Guards against a job of a few bytes whose tasks fill every plan and no record can hold.
+#[test]
+fn a_job_of_more_tasks_than_a_record_holds_is_invalid() {
+    let full_steps = MAX_JOB_TASKS / u64::from(MAX_STEP_TASKS);
+    let at_limit = job("j", vec![step(MAX_STEP_TASKS, 0); full_steps as usize]);
+    let mut above = at_limit.clone();
+    above.steps.push(step(1, 0));
+
+    assert_eq!(at_limit.validate(), Ok(()));
+    assert_eq!(
+        above.validate(),
+        Err("steps: have 30001 tasks together, must have at most 30000".into())
+    );
+}
