Ask the worker before another incarnation replaces it

Cause: a sidecar passed a listing on with its newest heartbeat, whichever incarnation had been asked, and incarnations were told apart by their start time alone. A heartbeat of another process with the same start time made the worker's listing that of the other process, and the ledger gave up the runs of the worker.

Evidence: in the record a lease on a clock of 748 s goes with acknowledged: 0, that is, with a new incarnation whose clock would have started anew. Played with real processes, such heartbeats give the same lines (E1701, E1613 "the worker restarted" in phase Live, a burst of E1706, then one each 0.25 s) and four of four tasks start twice. heartbeats_of_a_foreign_worker_start_no_task_twice failed before. Who sends such heartbeats on the users' machines is not in the record.

Change: AnnouncedWorker, a state machine without I/O, keeps the current incarnation until the sidecar has had an answer from the worker under the other one's identifier and with its start time; a listing goes with the heartbeat of the incarnation that was asked. A later start time is no longer needed, so that a clock that was set back does not keep a worker out.

--- /dev/null
+++ b/crates/fleet/src/announced.rs
@@ -0,0 +1,67 @@
+//! What a sidecar knows of its worker from the worker's messages.
+
+use crate::worker::Announcement;
+use smol_str::SmolStr;
+
+/// The incarnation of a worker that its sidecar passes orders to.
+///
+/// A heartbeat may be late, or come from a process that is not the worker beside the
+/// sidecar. Another incarnation therefore takes the place of the current one only once the
+/// worker has answered under its identifier.
+#[derive(Clone, Debug, Default)]
+pub struct AnnouncedWorker {
+    /// The newest heartbeat of the current incarnation; none after it has left.
+    current: Option<Announcement>,
+    /// The identifier of the last incarnation that has left.
+    departed: Option<SmolStr>,
+}
+
+/// What a sidecar makes of a heartbeat.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// It is the newest of the current incarnation.
+    Accepted,
+    /// The current incarnation has sent a newer one.
+    Outdated,
+    /// It is from an incarnation that has yet to answer under its identifier.
+    Unconfirmed,
+}
+
+impl AnnouncedWorker {
+    /// Returns the newest heartbeat of the current incarnation; none before the first one and
+    /// after it has left.
+    pub fn current(&self) -> Option<&Announcement> {
+        self.current.as_ref()
+    }
+
+    /// Returns the identifier of the last incarnation that has left.
+    pub fn departed(&self) -> Option<&SmolStr> {
+        self.departed.as_ref()
+    }
+
+    /// Handles a heartbeat. The first one is accepted without confirmation.
+    pub fn hear(&mut self, heartbeat: &Announcement) -> Verdict {
+        match &self.current {
+            Some(known) if known.boot != heartbeat.boot => return Verdict::Unconfirmed,
+            Some(known) if heartbeat.sequence <= known.sequence => return Verdict::Outdated,
+            None if self.departed.is_some() => return Verdict::Unconfirmed,
+            _ => {}
+        }
+        self.confirm(heartbeat.clone());
+        Verdict::Accepted
+    }
+
+    /// Makes the incarnation of a heartbeat the current one, as the worker has answered under
+    /// its identifier.
+    pub fn confirm(&mut self, heartbeat: Announcement) {
+        self.current = Some(heartbeat);
+        self.departed = None;
+    }
+
+    /// Records that the current incarnation has left; returns its identifier.
+    pub fn end(&mut self) -> Option<SmolStr> {
+        let ended = self.current.take()?;
+        self.departed = Some(ended.boot.id);
+        self.departed.clone()
+    }
+}
--- a/crates/fleet/src/ledger/ends.rs
+++ b/crates/fleet/src/ledger/ends.rs
@@ -171,9 +171,11 @@
         let Some(run) = self.remove_run(id, key) else {
             return;
         };
+        let worker = self.workers.get(&run.sidecar);
+        let lease = worker.map(|w| w.lease_end.saturating_sub(now));
         let detail = format!(
-            "task={key:?} run={} worker={} phase={:?}: {reason}",
-            run.number, run.sidecar, run.phase
+            "task={key:?} run={} worker={} phase={:?} boot={} born={} lease={lease:?}: {reason}",
+            run.number, run.sidecar, run.phase, run.boot.id, run.boot.born
         );
         self.note(Decision::Lost, id, &account, detail);
         self.store_checkpoint(id, key, &run.checkpoint);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 //! assert_eq!(record.state(), State::Queued);
 //! ```
 
+pub mod announced;
 pub mod ended_runs;
 pub mod job;
 pub mod ledger;
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the job records and of the placer's ledger.
 
+mod announced;
 mod departures;
 mod features;
 mod figures;
--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -77,7 +77,7 @@
     WorkerLost = 1702, "A worker stopped reporting.";
     WorkerQuarantined = 1703, "A worker failed too many tasks and is quarantined.";
     WorkerDraining = 1704, "A worker is leaving and is assigned no more work.";
-    BeatRefused = 1705, "A heartbeat could not be read, or was older than the newest one.";
+    BeatRefused = 1705, "A heartbeat could not be read, is outdated, or its sender is not the worker.";
     OrderRefused = 1706, "A sidecar or its worker refused an order, or did not answer it.";
     StoreDown = 1801, "The key-value service stopped answering.";
     StoreBack = 1802, "The key-value service answers again.";
--- a/crates/roles/src/fleet/sidecar.rs
+++ b/crates/roles/src/fleet/sidecar.rs
@@ -21,6 +21,8 @@
 use hibiscusbarrow_adapters::rpc::ForwardRequest;
 use hibiscusbarrow_adapters::rpc::Handlers;
 use hibiscusbarrow_adapters::signal::Flag;
+use hibiscusbarrow_fleet::announced::AnnouncedWorker;
+use hibiscusbarrow_fleet::announced::Verdict;
 use hibiscusbarrow_fleet::ended_runs::EndedRuns;
 use hibiscusbarrow_fleet::worker::Announcement;
 use hibiscusbarrow_fleet::worker::Answer;
@@ -29,7 +31,6 @@
 use hibiscusbarrow_fleet::worker::Refusal;
 use hibiscusbarrow_model::code::Code;
 use hibiscusbarrow_model::event::Event;
-use smol_str::SmolStr;
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -40,16 +41,21 @@
 /// The time between two polls of a draining worker. Such a worker can exit about 10 ms
 /// after its last task, and then never answers a poll that waits for an end.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(4);
+/// How often an incarnation that does not answer is asked after each of its heartbeats.
+const CONFIRMATION_ATTEMPTS: u32 = 3;
+/// The delay before an incarnation that did not answer is asked again.
+const CONFIRMATION_DELAY: Duration = Duration::from_millis(100);
 /// The time for answers in flight to be sent at a planned stop.
 const STOP_DELAY: Duration = Duration::from_millis(300);
 
 struct Sidecar {
     shared: Rc<Shared>,
     worker: Worker,
-    /// The newest heartbeat of the worker; none after it has left.
-    announced: RefCell<Option<Announcement>>,
-    /// The identifier of the last worker that left.
-    departed: RefCell<Option<SmolStr>>,
+    announced: RefCell<AnnouncedWorker>,
+    /// The newest heartbeat of an incarnation that has yet to answer under its identifier.
+    unconfirmed: RefCell<Option<Announcement>>,
+    /// Whether an incarnation is being asked for an answer.
+    confirming: Cell<bool>,
     /// The runs that ended or were stopped, so that no delayed order starts them again.
     ended_runs: RefCell<EndedRuns>,
     /// The highest epoch of a placer seen so far.
@@ -85,8 +91,9 @@
         .emit(Event::Started, settings.name.clone(), detail);
     let sidecar = Rc::new(Sidecar {
         worker,
-        announced: RefCell::new(None),
-        departed: RefCell::new(None),
+        announced: RefCell::default(),
+        unconfirmed: RefCell::default(),
+        confirming: Cell::new(false),
         ended_runs: RefCell::new(EndedRuns::default()),
         epoch: Cell::new(0),
         last_order: Cell::new(shared.clock.now()),
@@ -97,7 +104,7 @@
     let handler = {
         let sidecar = sidecar.clone();
         move |request: Request| {
-            let reply = sidecar.handle_message(&request);
+            let reply = sidecar.clone().handle_message(&request);
             async move { reply }
         }
     };
@@ -143,17 +150,15 @@
         }
     }
 
-    fn handle_message(&self, request: &Request) -> Reply {
+    fn handle_message(self: Rc<Self>, request: &Request) -> Reply {
         match (self.worker.decode_message)(request) {
-            Ok(WorkerMessage::Heartbeat(announcement)) => self.handle_heartbeat(announcement),
+            Ok(WorkerMessage::Heartbeat(heartbeat)) => self.handle_heartbeat(heartbeat),
             Ok(WorkerMessage::Left(id)) => {
-                let mut current = self.announced.borrow_mut();
-                if current.as_ref().is_some_and(|a| a.boot.id == id) {
-                    *current = None;
-                    *self.departed.borrow_mut() = Some(id.clone());
-                    self.shared
-                        .log
-                        .emit(Event::UpstreamLeaving, id, "the worker has left");
+                let mut announced = self.announced.borrow_mut();
+                if announced.current().is_some_and(|a| a.boot.id == id) {
+                    announced.end();
+                    let log = &self.shared.log;
+                    log.emit(Event::UpstreamLeaving, id, "the worker has left");
                 }
                 text_reply(200, "")
             }
@@ -169,43 +174,111 @@
         }
     }
 
-    fn handle_heartbeat(&self, heartbeat: Announcement) -> Reply {
-        let mut current = self.announced.borrow_mut();
-        if let Some(known) = current.as_ref() {
-            let older = heartbeat.boot.born < known.boot.born;
-            let outdated = heartbeat.boot == known.boot && heartbeat.sequence < known.sequence;
-            if older || outdated {
+    fn handle_heartbeat(self: Rc<Self>, heartbeat: Announcement) -> Reply {
+        let former = self.announced.borrow().current().cloned();
+        let verdict = self.announced.borrow_mut().hear(&heartbeat);
+        match verdict {
+            Verdict::Accepted => self.log_accepted(&heartbeat, former.as_ref()),
+            Verdict::Outdated => {
+                let known = former.map_or(0, |a| a.sequence);
                 let detail = format!(
-                    "born={} sequence={} known: born={} sequence={}",
-                    heartbeat.boot.born, heartbeat.sequence, known.boot.born, known.sequence
+                    "born={} sequence={} is not above {known}",
+                    heartbeat.boot.born, heartbeat.sequence
                 );
-                self.shared
-                    .log
-                    .emit(Event::BeatRefused, heartbeat.boot.id, detail);
-                return text_reply(200, "");
+                let log = &self.shared.log;
+                log.emit(Event::BeatRefused, heartbeat.boot.id, detail);
+            }
+            Verdict::Unconfirmed => {
+                *self.unconfirmed.borrow_mut() = Some(heartbeat);
+                if !self.confirming.replace(true) {
+                    compio::runtime::spawn(self.confirm_incarnations()).detach();
+                }
             }
         }
-        let previous = current.as_ref().map(|a| (a.boot.clone(), a.draining));
-        if previous != Some((heartbeat.boot.clone(), heartbeat.draining)) {
-            let detail = format!(
-                "born={} draining={} sequence={} room={:?} labels={:?}",
-                heartbeat.boot.born,
-                heartbeat.draining,
-                heartbeat.sequence,
-                heartbeat.capacity,
-                heartbeat.labels
-            );
-            let event = if heartbeat.draining {
-                Event::UpstreamLeaving
-            } else {
-                Event::UpstreamAnnounced
+        text_reply(200, "{}")
+    }
+
+    /// Logs a heartbeat that shows another incarnation or state than the former one.
+    fn log_accepted(&self, heartbeat: &Announcement, former: Option<&Announcement>) {
+        if former.is_some_and(|f| (&f.boot, f.draining) == (&heartbeat.boot, heartbeat.draining)) {
+            return;
+        }
+        let former = former.map(|f| (&f.boot, f.sequence));
+        let detail = format!(
+            "born={} draining={} sequence={} room={:?} labels={:?} former={former:?}",
+            heartbeat.boot.born,
+            heartbeat.draining,
+            heartbeat.sequence,
+            heartbeat.capacity,
+            heartbeat.labels
+        );
+        let event = if heartbeat.draining {
+            Event::UpstreamLeaving
+        } else {
+            Event::UpstreamAnnounced
+        };
+        let log = &self.shared.log;
+        log.emit(event, heartbeat.boot.id.clone(), detail);
+    }
+
+    /// Asks the worker for an answer under the identifier of each unconfirmed incarnation, and
+    /// passes orders on to the one that answers.
+    async fn confirm_incarnations(self: Rc<Self>) {
+        loop {
+            let heartbeat = self.unconfirmed.borrow_mut().take();
+            let Some(heartbeat) = heartbeat else {
+                break;
             };
-            self.shared
-                .log
-                .emit(event, heartbeat.boot.id.clone(), detail);
+            match self.ask_incarnation(&heartbeat).await {
+                Ok(()) => {
+                    let former = self.announced.borrow().current().cloned();
+                    self.announced.borrow_mut().confirm(heartbeat.clone());
+                    self.log_accepted(&heartbeat, former.as_ref());
+                }
+                Err(answer) => {
+                    let known = self.announced.borrow().current().map(|a| a.boot.clone());
+                    let detail = format!(
+                        "born={} sequence={} does not answer at the worker's address: {answer} \
+                         known={known:?}",
+                        heartbeat.boot.born, heartbeat.sequence
+                    );
+                    let log = &self.shared.log;
+                    log.emit(Event::BeatRefused, heartbeat.boot.id, detail);
+                }
+            }
+        }
+        self.confirming.set(false);
+    }
+
+    /// Returns whether the worker answers as the incarnation of a heartbeat.
+    ///
+    /// # Errors
+    ///
+    /// Returns the last answer if it does not.
+    async fn ask_incarnation(&self, heartbeat: &Announcement) -> Result<(), String> {
+        let poll = Envelope {
+            epoch: self.epoch.get(),
+            boot: Some(heartbeat.boot.clone()),
+            order: Order::Poll {
+                acknowledged: 0,
+                deadline: None,
+                wait: 0,
+            },
+        };
+        let mut attempt = 1;
+        loop {
+            match (self.worker.send_order)(poll.clone(), heartbeat.clone()).await {
+                Answer::Listed(_, listing) if listing.born == heartbeat.boot.born => return Ok(()),
+                Answer::Listed(_, listing) => return Err(format!("born={}", listing.born)),
+                // Only the incarnation that the poll names compares the epoch.
+                Answer::Refused(Refusal::Epoch) => return Ok(()),
+                answer @ Answer::Refused(Refusal::Boot) => return Err(format!("{answer:?}")),
+                answer if attempt == CONFIRMATION_ATTEMPTS => return Err(format!("{answer:?}")),
+                _ => {}
+            }
+            attempt += 1;
+            sleep(CONFIRMATION_DELAY).await;
         }
-        *current = Some(heartbeat);
-        text_reply(200, "{}")
     }
 
     async fn serve_orders(self: Rc<Self>, listener: TcpListener) {
@@ -272,8 +345,9 @@
             return Answer::Refused(Refusal::Epoch);
         }
         self.epoch.set(envelope.epoch);
-        let Some(announced) = self.announced.borrow().clone() else {
-            let left = self.departed.borrow().clone();
+        let announced = self.announced.borrow().current().cloned();
+        let Some(announced) = announced else {
+            let left = self.announced.borrow().departed().cloned();
             return left.map_or(Answer::Refused(Refusal::Boot), Answer::Left);
         };
         let mut envelope = envelope;
@@ -301,17 +375,15 @@
         if let Order::Stop { task, run } = &envelope.order {
             self.ended_runs.borrow_mut().insert(task, *run);
         }
-        let answer = self.send_to_worker(envelope.clone(), announced).await;
+        let answer = self
+            .send_to_worker(envelope.clone(), announced.clone())
+            .await;
         match answer {
-            // A newer heartbeat may have arrived during the poll.
             Answer::Listed(_, listing) => {
                 for end in &listing.ended {
                     self.ended_runs.borrow_mut().insert(&end.task, end.run);
                 }
-                match self.announced.borrow().clone() {
-                    Some(newest) => Answer::Listed(Box::new(newest), listing),
-                    None => Answer::Refused(Refusal::Boot),
-                }
+                Answer::Listed(Box::new(self.newest_of(announced)), listing)
             }
             Answer::Accepted | Answer::Left(_) => answer,
             Answer::Refused(_) | Answer::Unreadable(_) | Answer::Silent => {
@@ -326,4 +398,13 @@
             }
         }
     }
+    /// Returns the newest heartbeat of the incarnation that sent the given one.
+    fn newest_of(&self, heartbeat: Announcement) -> Announcement {
+        let announced = self.announced.borrow();
+        let newest = announced.current();
+        newest
+            .filter(|a| a.boot == heartbeat.boot)
+            .cloned()
+            .unwrap_or(heartbeat)
+    }
 }
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -241,6 +241,26 @@
         assert!(starts.values().all(|n| *n == 1), "{starts:?}");
     }
 
+    /// Sends a message of a worker to a sidecar and returns the status of the reply.
+    fn send_as_worker(&self, sidecar: usize, method: &str, id: &str, body: &str) -> u16 {
+        let ip = process_ip(self.number, self.gateways + sidecar);
+        let addr = format!("{ip}:{}", standin::HEARTBEAT_PORT);
+        let request = http::Request::builder()
+            .method(method)
+            .uri(format!("/instances/{id}"))
+            .header("host", addr.as_str())
+            .body(Bytes::from(body.to_owned()))
+            .expect("the request is valid");
+        let addr = addr.parse().expect("the address is valid");
+        self.send(addr, request).map_or(0, |r| r.status().as_u16())
+    }
+
+    /// Returns the position of a sidecar whose worker runs a task.
+    fn busy_sidecar(&self) -> usize {
+        let busy = self.workers.iter().position(|w| !w.running().is_empty());
+        busy.expect("one of the workers runs a task")
+    }
+
     /// Returns the index of the gateway that holds the placer lease.
     fn placer(&self) -> usize {
         let leases = self.store.read("hibiscusbarrow/placer");
@@ -581,3 +601,29 @@
     });
     fleet.assert_started_once();
 }
+
+/// Guards against runs that are given up because another process announces itself at the
+/// sidecar of their worker: they were started elsewhere while they were at work.
+#[test]
+fn heartbeats_of_a_foreign_worker_start_no_task_twice() {
+    let fleet = Fleet::start(1, 2);
+    let body = standin::job(&[(4, 2)], 3_000);
+    assert_eq!(fleet.call(0, "POST", JOB_PATH, &body).0, 200);
+    fleet.wait_for("the tasks to run", |f| f.start_counts().len() == 4);
+
+    let sidecar = fleet.busy_sidecar();
+    let end = Instant::now() + Duration::from_secs(2);
+    while Instant::now() < end {
+        let heartbeat = fleet.workers[sidecar].heartbeat().to_string();
+        assert_eq!(
+            fleet.send_as_worker(sidecar, "PUT", "foreign", &heartbeat),
+            200
+        );
+        std::thread::sleep(Duration::from_millis(20));
+    }
+
+    fleet.wait_for("the job to complete", |f| {
+        f.get_body(0, JOB_PATH).contains("completed")
+    });
+    fleet.assert_started_once();
+}
