Take a worker for gone only when no process listens at its address

Callers saw tasks run twice: a notice of departure that arrives late, when the worker is back under its identifier, counted as the departure of the new incarnation. The sidecar said so until the next heartbeat, and after 0.5 s the runs were started elsewhere.

Evidence: late_notice_of_departure_starts_no_task_twice, with real processes, failed before (each of four tasks started twice).

Change: a notice makes its incarnation count as draining. It has left once a poll got no listing and the host refuses connections to the worker's address; a later heartbeat of the incarnation shows that it goes on.

--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod http;
 pub mod log;
 pub mod metrics;
+pub mod probe;
 pub mod rpc;
 pub mod signal;
 pub mod store;
--- a/crates/fleet/src/announced.rs
+++ b/crates/fleet/src/announced.rs
@@ -12,6 +12,8 @@
 pub struct AnnouncedWorker {
     /// The newest heartbeat of the current incarnation; none after it has left.
     current: Option<Announcement>,
+    /// Whether the current incarnation has announced its end.
+    leaving: bool,
     /// The identifier of the last incarnation that has left.
     departed: Option<SmolStr>,
 }
@@ -34,6 +36,11 @@
         self.current.as_ref()
     }
 
+    /// Returns whether the current incarnation has announced its end.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
     /// Returns the identifier of the last incarnation that has left.
     pub fn departed(&self) -> Option<&SmolStr> {
         self.departed.as_ref()
@@ -55,12 +62,29 @@
     /// its identifier.
     pub fn confirm(&mut self, heartbeat: Announcement) {
         self.current = Some(heartbeat);
+        self.leaving = false;
         self.departed = None;
     }
 
+    /// Handles the notice that the incarnation with this identifier ends; returns whether it is
+    /// the current one, which then counts as draining.
+    ///
+    /// The notice may be a late one of a former incarnation with the same identifier, so that
+    /// it does not show yet that the current one is gone.
+    pub fn announce_end(&mut self, id: &str) -> bool {
+        let current = self.current.as_mut().filter(|a| a.boot.id == id);
+        let Some(current) = current else {
+            return false;
+        };
+        current.draining = true;
+        self.leaving = true;
+        true
+    }
+
     /// Records that the current incarnation has left; returns its identifier.
     pub fn end(&mut self) -> Option<SmolStr> {
         let ended = self.current.take()?;
+        self.leaving = false;
         self.departed = Some(ended.boot.id);
         self.departed.clone()
     }
--- a/crates/fleet/tests/suite/announced.rs
+++ b/crates/fleet/tests/suite/announced.rs
@@ -1,4 +1,4 @@
-//! What a sidecar makes of heartbeats.
+//! What a sidecar makes of heartbeats and notices of departure.
 
 use hibiscusbarrow_fleet::announced::AnnouncedWorker;
 use hibiscusbarrow_fleet::announced::Verdict;
@@ -58,9 +58,25 @@
     assert_eq!(verdicts, expected);
 }
 
+/// Guards against a late notice of a former incarnation ending one with the same identifier.
+#[test]
+fn a_worker_that_sends_heartbeats_after_a_notice_of_its_end_is_not_leaving() {
+    let mut worker = known_worker("w1", 7, 3);
+    assert!(!worker.announce_end("w2"));
+    assert!(worker.announce_end("w1"));
+    let drains = worker.current().is_some_and(|a| a.draining);
+    assert!(drains && worker.is_leaving());
+
+    assert_eq!(worker.hear(&heartbeat("w1", 7, 4)), Verdict::Accepted);
+
+    assert!(!worker.is_leaving());
+    assert_eq!(worker.departed(), None);
+}
+
 #[test]
 fn a_worker_that_has_left_returns_after_its_confirmation() {
     let mut worker = known_worker("w1", 7, 3);
+    worker.announce_end("w1");
     assert_eq!(worker.end().as_deref(), Some("w1"));
     assert_eq!(worker.current(), None);
 
--- a/crates/roles/src/fleet/port.rs
+++ b/crates/roles/src/fleet/port.rs
@@ -175,7 +175,7 @@
 pub enum WorkerMessage {
     /// A heartbeat.
     Heartbeat(Announcement),
-    /// The worker with this identifier has left.
+    /// The worker with this identifier ends.
     Left(SmolStr),
 }
 
@@ -186,6 +186,8 @@
     pub decode_message: Decode<Request, WorkerMessage>,
     /// Sends an order to the incarnation of the worker that sent the given heartbeat.
     pub send_order: Rc<dyn Fn(Envelope, Announcement) -> LocalBoxFuture<Answer>>,
+    /// Returns whether no process listens at the worker's address.
+    pub is_absent: Rc<dyn Fn() -> LocalBoxFuture<bool>>,
 }
 
 /// Asks the policy service which workers may run a step; returns pairs of a worker and its
--- a/crates/roles/src/fleet/sidecar.rs
+++ b/crates/roles/src/fleet/sidecar.rs
@@ -26,11 +26,13 @@
 use hibiscusbarrow_fleet::ended_runs::EndedRuns;
 use hibiscusbarrow_fleet::worker::Announcement;
 use hibiscusbarrow_fleet::worker::Answer;
+use hibiscusbarrow_fleet::worker::Boot;
 use hibiscusbarrow_fleet::worker::Envelope;
 use hibiscusbarrow_fleet::worker::Order;
 use hibiscusbarrow_fleet::worker::Refusal;
 use hibiscusbarrow_model::code::Code;
 use hibiscusbarrow_model::event::Event;
+use smol_str::SmolStr;
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -154,11 +156,9 @@
         match (self.worker.decode_message)(request) {
             Ok(WorkerMessage::Heartbeat(heartbeat)) => self.handle_heartbeat(heartbeat),
             Ok(WorkerMessage::Left(id)) => {
-                let mut announced = self.announced.borrow_mut();
-                if announced.current().is_some_and(|a| a.boot.id == id) {
-                    announced.end();
+                if self.announced.borrow_mut().announce_end(&id) {
                     let log = &self.shared.log;
-                    log.emit(Event::UpstreamLeaving, id, "the worker has left");
+                    log.emit(Event::UpstreamLeaving, id, "the worker ends");
                 }
                 text_reply(200, "")
             }
@@ -378,6 +378,11 @@
         let answer = self
             .send_to_worker(envelope.clone(), announced.clone())
             .await;
+        if !matches!(answer, Answer::Listed(..))
+            && let Some(left) = self.check_departure(&announced.boot).await
+        {
+            return Answer::Left(left);
+        }
         match answer {
             Answer::Listed(_, listing) => {
                 for end in &listing.ended {
@@ -407,4 +412,20 @@
             .cloned()
             .unwrap_or(heartbeat)
     }
+
+    /// Returns the identifier of an incarnation that has announced its end, if no process
+    /// listens at its address any more.
+    async fn check_departure(&self, boot: &Boot) -> Option<SmolStr> {
+        let is_leaving = || {
+            let announced = self.announced.borrow();
+            announced.is_leaving() && announced.current().is_some_and(|a| a.boot == *boot)
+        };
+        if !is_leaving() || !(self.worker.is_absent)().await || !is_leaving() {
+            return None;
+        }
+        let left = self.announced.borrow_mut().end()?;
+        let log = &self.shared.log;
+        log.emit(Event::UpstreamLeaving, left.clone(), "the worker has left");
+        Some(left)
+    }
 }
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -627,3 +627,25 @@
     });
     fleet.assert_started_once();
 }
+
+/// Guards against a late notice of departure, of a former incarnation with the same identifier,
+/// that counts as the end of the present one: its runs were started elsewhere.
+#[test]
+fn late_notice_of_departure_starts_no_task_twice() {
+    let fleet = Fleet::start(1, 2);
+    let body = standin::job(&[(4, 2)], 4_000);
+    assert_eq!(fleet.call(0, "POST", JOB_PATH, &body).0, 200);
+    fleet.wait_for("the tasks to run", |f| f.start_counts().len() == 4);
+    let sidecar = fleet.busy_sidecar();
+    let worker = &fleet.workers[sidecar];
+    worker.set_heartbeat_interval(Duration::from_millis(2_500));
+    std::thread::sleep(Duration::from_millis(400));
+
+    let id = format!("w{}", fleet.gateways + sidecar);
+    assert_eq!(fleet.send_as_worker(sidecar, "DELETE", &id, ""), 200);
+
+    fleet.wait_for("the job to complete", |f| {
+        f.get_body(0, JOB_PATH).contains("completed")
+    });
+    fleet.assert_started_once();
+}
