--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -649,3 +649,76 @@
     });
     fleet.assert_started_once();
 }
+
+/// Submits a job at gateway 0 and waits until each of `gateways` shows it as completed.
+fn complete_job(fleet: &Fleet, path: &str, gateways: usize) {
+    let body = standin::job(&[(2, 1), (1, 1)], 300);
+    fleet.wait_for("the job to be accepted", |f| {
+        f.call(0, "POST", path, &body).0 == 200
+    });
+    fleet.wait_for("the job to complete", |f| {
+        (0..gateways).all(|g| f.get_body(g, path).contains("completed"))
+    });
+}
+
+/// Fails if a gateway has ended.
+fn assert_gateways_run(fleet: &mut Fleet) {
+    for index in 0..fleet.gateways {
+        let child = fleet.children.get_mut(&format!("p{index}"));
+        let child = child.expect("the process was started");
+        assert_eq!(child.try_wait().expect("the process can be asked"), None);
+    }
+}
+
+/// Completes a job while odd entries come, and another one after all gateways have started
+/// again and found the entries in the store.
+fn complete_jobs_beside(entries: &[(String, Vec<u8>)], encoded: &[(&str, &str)]) {
+    let mut fleet = Fleet::start(2, 2);
+    for (key, value) in entries {
+        fleet.store.put(key, value);
+    }
+    for (key, text) in encoded {
+        fleet.store.put_encoded(key, text);
+    }
+    complete_job(&fleet, JOB_PATH, 2);
+    assert_gateways_run(&mut fleet);
+    for index in 0..2 {
+        fleet.kill(index);
+        fleet.spawn(index);
+    }
+    complete_job(&fleet, "/pairs/00000000000000a2", 2);
+
+    fleet.assert_started_once();
+    assert_gateways_run(&mut fleet);
+}
+
+/// Returns a text of nested lists that is too deep for a parser that recurses.
+fn nested_lists() -> String {
+    const DEPTH: usize = 200_000;
+    format!("{}{}", "[".repeat(DEPTH), "]".repeat(DEPTH))
+}
+
+/// Guards against one registration that cannot be read and keeps gateways from following the
+/// others.
+#[test]
+fn odd_registrations_do_not_keep_gateways_from_the_others() {
+    let nested = nested_lists();
+    let texts = [
+        "127.0.0.1:99999",
+        "{{{{",
+        &nested,
+        "",
+        "1e999",
+        "127.0.0.1:-1 x y",
+    ];
+    let mut entries: Vec<(String, Vec<u8>)> = Vec::new();
+    for (number, text) in texts.iter().enumerate() {
+        for kind in ["worker", "gateway"] {
+            let key = format!("hibiscusbarrow/{kind}/odd{number}");
+            entries.push((key, text.as_bytes().to_vec()));
+        }
+    }
+    entries.push(("hibiscusbarrow/worker/bytes".into(), vec![0xff, 0xfe, 0]));
+
+    complete_jobs_beside(&entries, &[("hibiscusbarrow/worker/raw", "*not base64*")]);
+}
