Check a stored record before it is used

A gateway ended as soon as it placed jobs (index out of bounds: the len is 1 but the index is 7) while one record of another writer named a step that its job does not have, and each next placer would have (reported by operators of similar systems).

Cause: a record counted as valid if it was JSON of the right form; the ledger indexes the steps by the progress.

Evidence: odd_records_neither_end_a_gateway_nor_hold_up_other_jobs failed before with that panic in the placer's log; no job started.

Change: Record::decode takes the identifier of the job whose key the record has, and checks the identifier, the job's own limits, and that the progress is sorted and of tasks that the job has.

The tests that decode records pass the identifier; what they check is as before.

--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -206,12 +206,39 @@
         serde_json::to_vec(self).expect("a record serialises to JSON")
     }
 
-    /// Decodes a stored record.
+    /// Decodes the stored record of the job with this identifier.
     ///
     /// # Errors
     ///
-    /// Returns an error if the bytes are not the JSON of a record.
-    pub fn decode(bytes: &[u8]) -> Result<Self, serde_json::Error> {
-        serde_json::from_slice(bytes)
+    /// Returns a message that says what is wrong if the bytes are not the JSON of a record, if
+    /// the record is that of another job, if its job is invalid, or if its progress does not fit
+    /// the steps of its job.
+    pub fn decode(id: &str, bytes: &[u8]) -> Result<Self, String> {
+        let record: Self = serde_json::from_slice(bytes).map_err(|e| e.to_string())?;
+        record.check(id)?;
+        Ok(record)
+    }
+
+    /// Checks what the ledger relies on.
+    fn check(&self, id: &str) -> Result<(), String> {
+        if self.job.id != id {
+            return Err(format!("job.id: is {:?}, expected {id:?}", self.job.id));
+        }
+        self.job.validate().map_err(|e| format!("job.{e}"))?;
+        let mut last = None;
+        for (position, (occurrence, step, index, _)) in self.tasks.iter().enumerate() {
+            let key = (*occurrence, *step, *index);
+            let count = self.job.steps.get(*step as usize).map_or(0, |s| s.count);
+            if *occurrence >= self.job.occurrences() || *index >= count {
+                return Err(format!("tasks[{position}]: the job has no task {key:?}"));
+            }
+            if last.is_some_and(|last| last >= key) {
+                return Err(format!(
+                    "tasks[{position}]: {key:?} is not above the task before it"
+                ));
+            }
+            last = Some(key);
+        }
+        Ok(())
     }
 }
--- a/crates/fleet/tests/suite/fixtures.rs
+++ b/crates/fleet/tests/suite/fixtures.rs
@@ -243,7 +243,7 @@
         self.revision += 1;
         for write in &batch.writes {
             let bytes = write.value.as_ref().expect("no record is deleted");
-            let record = Record::decode(bytes).expect("the record decodes");
+            let record = Record::decode(&write.job, bytes).expect("the record decodes");
             self.stored
                 .insert(write.job.clone(), (record, self.revision));
         }
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod model;
 mod occurrences;
 mod order;
+mod records;
 mod rules;
 mod takeover;
 mod urgency;
--- /dev/null
+++ b/crates/fleet/tests/suite/records.rs
@@ -0,0 +1,60 @@
+//! Stored records, as this and other writers leave them.
+
+use crate::fixtures::job;
+use crate::fixtures::step;
+use hibiscusbarrow_fleet::job::Job;
+use hibiscusbarrow_fleet::record::Progress;
+use hibiscusbarrow_fleet::record::Record;
+
+/// Returns the record of a job of two steps with two and three tasks, and the progress of these
+/// tasks.
+fn record_with(tasks: &[(u32, u32, u32)]) -> Record {
+    let mut record = Record::new(job("j", vec![step(2, 1), step(3, 1)]));
+    let progress = tasks
+        .iter()
+        .map(|(k, s, i)| (*k, *s, *i, Progress::default()));
+    record.tasks = progress.collect();
+    record
+}
+
+/// Guards against a record whose progress names a step that its job does not have: each gateway
+/// that read it ended.
+#[test]
+fn a_record_that_does_not_fit_its_job_is_an_error_that_names_the_field() {
+    let fits = record_with(&[(0, 0, 1), (0, 1, 0), (0, 1, 2)]);
+    assert_eq!(Record::decode("j", &fits.encode()), Ok(fits));
+    let unordered = Record {
+        job: Job {
+            steps: vec![step(1, 1), Default::default()],
+            ..job("j", Vec::new())
+        },
+        ..record_with(&[])
+    };
+    let cases = [
+        (
+            record_with(&[(0, 7, 0)]),
+            "tasks[0]: the job has no task (0, 7, 0)",
+        ),
+        (
+            record_with(&[(0, 1, 3)]),
+            "tasks[0]: the job has no task (0, 1, 3)",
+        ),
+        (
+            record_with(&[(1, 0, 0)]),
+            "tasks[0]: the job has no task (1, 0, 0)",
+        ),
+        (
+            record_with(&[(0, 0, 1), (0, 0, 1)]),
+            "tasks[1]: (0, 0, 1) is not above the task before it",
+        ),
+        (unordered, "job.steps[1].count: must be 1 to 10000"),
+    ];
+    for (record, error) in cases {
+        assert_eq!(Record::decode("j", &record.encode()), Err(error.into()));
+    }
+    let other = record_with(&[]).encode();
+    assert_eq!(
+        Record::decode("k", &other),
+        Err(r#"job.id: is "j", expected "k""#.into())
+    );
+}
--- a/crates/roles/src/fleet/cache/mod.rs
+++ b/crates/roles/src/fleet/cache/mod.rs
@@ -379,7 +379,7 @@
             self.publish(&Change::JobDeleted(id));
             return;
         };
-        match Record::decode(value) {
+        match Record::decode(&id, value) {
             Ok(record) => self.put_job(shared, &id, Rc::new(record), item.revision),
             Err(e) => {
                 let detail = format!("revision={} cannot decode the record: {e}", item.revision);
--- a/crates/roles/src/fleet/callers/mod.rs
+++ b/crates/roles/src/fleet/callers/mod.rs
@@ -255,7 +255,8 @@
                 }
                 Ok(Outcome::Conflict(items)) => {
                     let item = items.into_iter().find(|i| i.key == keys::job(id));
-                    stored = item.and_then(|i| Some((Record::decode(&i.value?).ok()?, i.revision)));
+                    stored =
+                        item.and_then(|i| Some((Record::decode(id, &i.value?).ok()?, i.revision)));
                     continue;
                 }
                 Ok(Outcome::NoLease)
@@ -316,7 +317,7 @@
                 Ok(None) => return Ok(None),
                 Ok(Some(item)) => {
                     let value = item.value.unwrap_or_default();
-                    return match Record::decode(&value) {
+                    return match Record::decode(id, &value) {
                         Ok(record) => {
                             let cached = Rc::new(record.clone());
                             self.cache.put_job(&self.shared, id, cached, item.revision);
--- a/crates/roles/src/fleet/callers/submit.rs
+++ b/crates/roles/src/fleet/callers/submit.rs
@@ -170,7 +170,8 @@
         let stored = items
             .iter()
             .find_map(|i| Some((i.value.as_ref()?, i.revision)));
-        let stored = stored.and_then(|(v, r)| Some((Record::decode(v).ok()?, r)));
+        let stored =
+            stored.and_then(|(v, r)| Some((Record::decode(&admitted.path_rest, v).ok()?, r)));
         let same = stored.as_ref().is_some_and(|(stored, _)| {
             stored.job.spec == record.job.spec && stored.job.steps == record.job.steps
         });
--- a/crates/roles/src/fleet/placer.rs
+++ b/crates/roles/src/fleet/placer.rs
@@ -569,7 +569,7 @@
         self.shared
             .log
             .emit(Event::StoreConflict, id.clone(), detail);
-        match item.value.as_ref().map(|v| Record::decode(v)) {
+        match item.value.as_ref().map(|v| Record::decode(&id, v)) {
             Some(Ok(record)) => self.ledger.handle_conflict(record, item.revision, now),
             Some(Err(e)) => {
                 let detail = format!("cannot decode the record: {e}");
--- a/src/cmd/bench/ledger.rs
+++ b/src/cmd/bench/ledger.rs
@@ -183,7 +183,7 @@
                 let Some(value) = &write.value else {
                     continue;
                 };
-                let record = Record::decode(value).expect("the record is readable");
+                let record = Record::decode(&write.job, value).expect("the record is readable");
                 self.records
                     .insert(write.job.clone(), (record, self.revision));
             }
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -722,3 +722,38 @@
 
     complete_jobs_beside(&entries, &[("hibiscusbarrow/worker/raw", "*not base64*")]);
 }
+
+/// Returns a stored record whose job has one task and this identifier, and whose progress is
+/// `tasks`.
+fn stored_record(id: &str, tasks: &str) -> String {
+    format!(
+        r#"{{"job":{{"id":"{id}","queue":"pairs","service":"svc","account":"agency","priority":0,"attempts":1,"accepted":1,"spec":"1","steps":[{{"count":1,"cpu":1}}]}},"tasks":[{tasks}]}}"#
+    )
+}
+
+/// Guards against one record of another writer that ends each gateway that reads it.
+#[test]
+fn odd_records_neither_end_a_gateway_nor_hold_up_other_jobs() {
+    const PLACED: &str = r#"{"r":1,"p":{"n":"p1","b":{"id":"w1","born":1}}}"#;
+    let id = |number: usize| format!("{:016x}", 0xb0 + number);
+    let records = [
+        stored_record(&id(0), "").replace("\"1\"", &nested_lists()),
+        stored_record(&id(1), &format!("[0,7,0,{PLACED}]")),
+        stored_record(&id(2), &format!("[0,0,4000000000,{PLACED}]")),
+        stored_record(&id(3), &format!("[4000000000,0,0,{PLACED}]")),
+        stored_record(&id(4), &format!("[0,0,0,{PLACED}],[0,0,0,{PLACED}]")),
+        stored_record(&id(5), "").replace("\"count\":1", "\"count\":1,\"after\":[9]"),
+        stored_record(&id(6), "").replace("\"accepted\":1", "\"accepted\":1e300"),
+        stored_record(&id(7), "").replace("\"count\":1", "\"count\":4000000000"),
+        stored_record("00000000000000a1", ""),
+    ];
+    let entry = |(number, text): (usize, String)| {
+        (
+            format!("hibiscusbarrow/job/{}", id(number)),
+            text.into_bytes(),
+        )
+    };
+    let entries: Vec<_> = records.into_iter().enumerate().map(entry).collect();
+
+    complete_jobs_beside(&entries, &[]);
+}
