Soak the real processes under overlapping drawn faults

A test that plays what the users' own runs play: three gateways and four sidecars as real processes, clients that keep their connections open, and drawn faults that overlap: SIGKILL, SIGTERM, SIGSTOP and SIGHUP of any process, crashes of workers and their return under the same or another identifier with an earlier or later start time, planned departures with and without notice, heartbeats of a foreign process, late notices, outages of the store for all or for one, new manifests. It checks that each accepted job completes, that no task runs twice at a time or after an acknowledged end as done, and that no answer is one that no rule allows.

SOAK_SEEDS names the seeds, SOAK_SECONDS the time of the faults; without them six seeds run for 12 s each, three fleets at a time.

--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -23,7 +23,7 @@
 /// The key that the manifest accepts.
 const API_KEY: &str = "k-1";
 /// The longest wait for an expected condition; only a failing test waits that long.
-const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
+pub const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
 
 /// The number of the next fleet of this test run; each has addresses of its own.
 static NEXT_FLEET: AtomicU32 = AtomicU32::new(1);
@@ -31,11 +31,13 @@
 /// Running gateways and sidecars with their stand-ins; dropping it kills the processes.
 ///
 /// Processes are identified by an index: first the gateways, then the sidecars.
-struct Fleet {
+pub struct Fleet {
     number: u32,
-    dir: PathBuf,
-    store: StoreStandin,
-    workers: Vec<WorkerStandin>,
+    pub dir: PathBuf,
+    pub store: StoreStandin,
+    pub workers: Vec<WorkerStandin>,
+    /// Whether the logs stay when the fleet is dropped.
+    keeps_logs: bool,
     gateways: usize,
     children: BTreeMap<String, Child>,
 }
@@ -48,7 +50,7 @@
 impl Fleet {
     /// Starts the processes and waits until every gateway is ready and knows the others and the
     /// placer, and every sidecar has registered.
-    fn start(gateways: usize, sidecars: usize) -> Self {
+    pub fn start(gateways: usize, sidecars: usize) -> Self {
         let number = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
         let unique = format!("fleet-{}-{number}", std::process::id());
         let dir = std::env::temp_dir().join(unique);
@@ -61,6 +63,7 @@
             dir,
             store,
             workers: Vec::new(),
+            keeps_logs: false,
             gateways,
             children: BTreeMap::new(),
         };
@@ -90,7 +93,7 @@
     }
 
     /// Starts or restarts a process, with its log appended to a file.
-    fn spawn(&mut self, index: usize) {
+    pub fn spawn(&mut self, index: usize) {
         let name = self.process_name(index);
         let sidecar = index >= self.gateways;
         let config = ProcessConfig {
@@ -113,20 +116,34 @@
     }
 
     /// Kills a process with SIGKILL and waits for its end.
-    fn kill(&mut self, index: usize) {
+    pub fn kill(&mut self, index: usize) {
         let child = self.children.get_mut(&self.process_name(index));
         let child = child.expect("the process was started");
         child.kill().expect("the process can be killed");
         child.wait().expect("the process ends");
     }
 
-    fn signal(&self, index: usize, signal: &str) {
+    pub fn signal(&self, index: usize, signal: &str) {
         let id = self.children[&self.process_name(index)].id().to_string();
         let status = Command::new("kill").args([signal, &id]).status();
         assert!(status.expect("the kill command runs").success());
     }
 
-    fn gateway_addr(&self, index: usize) -> SocketAddr {
+    /// Sends a signal to a process unless it has ended.
+    pub fn signal_if_running(&mut self, index: usize, signal: &str) {
+        let child = self.children.get_mut(&self.process_name(index));
+        let ended = child.expect("the process was started").try_wait();
+        if ended.expect("the process can be asked").is_none() {
+            self.signal(index, signal);
+        }
+    }
+
+    /// Keeps the logs of the processes when the fleet is dropped.
+    pub fn keep_logs(&mut self) {
+        self.keeps_logs = true;
+    }
+
+    pub fn gateway_addr(&self, index: usize) -> SocketAddr {
         let text = format!("{}:{}", process_ip(self.number, index), standin::FRONT_PORT);
         text.parse().expect("the address is valid")
     }
@@ -190,7 +207,7 @@
     }
 
     /// Returns the body of a `GET` response.
-    fn get_body(&self, index: usize, path: &str) -> String {
+    pub fn get_body(&self, index: usize, path: &str) -> String {
         self.call(index, "GET", path, "").1
     }
 
@@ -242,7 +259,7 @@
     }
 
     /// Sends a message of a worker to a sidecar and returns the status of the reply.
-    fn send_as_worker(&self, sidecar: usize, method: &str, id: &str, body: &str) -> u16 {
+    pub fn send_as_worker(&self, sidecar: usize, method: &str, id: &str, body: &str) -> u16 {
         let ip = process_ip(self.number, self.gateways + sidecar);
         let addr = format!("{ip}:{}", standin::HEARTBEAT_PORT);
         let request = http::Request::builder()
@@ -279,7 +296,7 @@
             let _ = child.kill();
             let _ = child.wait();
         }
-        if !std::thread::panicking() {
+        if !std::thread::panicking() && !self.keeps_logs {
             let _ = fs::remove_dir_all(&self.dir);
         }
     }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,4 +11,5 @@
 mod keys;
 mod load;
 mod path;
+mod soak;
 mod stops;
--- /dev/null
+++ b/tests/testsuite/soak.rs
@@ -0,0 +1,394 @@
+//! A soak of the real processes: drawn faults in series and overlapping, while clients keep
+//! their connections open.
+//!
+//! `SOAK_SEEDS=1-50` sets the seeds, `SOAK_SECONDS=30` how long the faults of each last.
+
+use crate::cluster::block_on;
+use crate::fleet::Fleet;
+use crate::fleet::WAIT_TIMEOUT;
+use bytes::Bytes;
+use hibiscusbarrow_adapters::http::HttpClient;
+use hibiscusbarrow_platform::standin;
+use hibiscusbarrow_platform::standin::SeenRun;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::ops::RangeInclusive;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+const GATEWAYS: usize = 3;
+const SIDECARS: usize = 4;
+const CLIENTS: usize = 3;
+/// The seeds if `SOAK_SEEDS` is not set.
+const DEFAULT_SEEDS: RangeInclusive<u64> = 1..=6;
+/// How many fleets run at the same time.
+const PARALLEL: usize = 3;
+/// How long faults are drawn if `SOAK_SECONDS` is not set.
+const DEFAULT_SECONDS: u64 = 12;
+/// The time limit of one call of a client.
+const CALL_TIMEOUT: Duration = Duration::from_secs(4);
+/// Milliseconds from the start of a fault to its end.
+const FAULT_MS: RangeInclusive<u64> = 300..=2_000;
+/// Milliseconds between the starts of two faults.
+const PAUSE_MS: RangeInclusive<u64> = 50..=500;
+/// The time in which a process ends after SIGTERM; `grace-s` of the settings is 3.
+const GRACE: Duration = Duration::from_millis(3_500);
+
+/// The end of a fault.
+#[derive(Clone, Debug)]
+enum Recovery {
+    /// Starts a process again, after its end if it is still there.
+    Spawn(usize),
+    /// Lets a suspended process continue.
+    Resume(usize),
+    /// Starts a worker again under an identifier.
+    RestartWorker(usize, String),
+    /// Ends a draining worker as planned, with or without a notice that arrives in time.
+    EndWorker(usize, bool),
+    /// Makes the store available to a process, or to all.
+    RestoreStore(Option<usize>),
+}
+
+/// A fleet under drawn faults.
+struct Soak {
+    fleet: Fleet,
+    rng: SmallRng,
+    /// The faults that are not over, with the times of their ends.
+    open: Vec<(Instant, Recovery)>,
+    /// The processes and the workers (behind the processes) under a fault.
+    busy: Vec<bool>,
+    manifest: u64,
+    /// What was done, for a failed run.
+    log: Vec<String>,
+    start: Instant,
+}
+
+impl Soak {
+    fn new(seed: u64) -> Self {
+        Self {
+            fleet: Fleet::start(GATEWAYS, SIDECARS),
+            rng: SmallRng::seed_from_u64(seed),
+            open: Vec::new(),
+            busy: vec![false; GATEWAYS + 2 * SIDECARS],
+            manifest: 1,
+            log: Vec::new(),
+            start: Instant::now(),
+        }
+    }
+
+    fn note(&mut self, text: String) {
+        let at = self.start.elapsed().as_secs_f64();
+        self.log.push(format!("{at:.3} {text}"));
+    }
+
+    /// Draws one fault and begins it, unless its target is under another one.
+    fn begin_fault(&mut self) {
+        let process = self.rng.random_range(0..GATEWAYS + SIDECARS);
+        let worker = self.rng.random_range(0..SIDECARS);
+        let time = Duration::from_millis(self.rng.random_range(FAULT_MS));
+        let end = Instant::now() + time;
+        let kind = self.rng.random_range(0..12);
+        let target = if (4..8).contains(&kind) {
+            GATEWAYS + SIDECARS + worker
+        } else {
+            process
+        };
+        if kind < 8 && std::mem::replace(&mut self.busy[target], true) {
+            return;
+        }
+        self.note(format!(
+            "kind={kind} process={process} worker={worker} {time:?}"
+        ));
+        match kind {
+            0 => {
+                self.fleet.kill(process);
+                self.open.push((end, Recovery::Spawn(process)));
+            }
+            1 => {
+                self.fleet.signal(process, "-TERM");
+                let end = Instant::now() + GRACE;
+                self.open.push((end, Recovery::Spawn(process)));
+            }
+            2 | 3 => {
+                self.fleet.signal(process, "-STOP");
+                self.open.push((end, Recovery::Resume(process)));
+            }
+            4 | 5 => {
+                let id = self.fleet.workers[worker].id();
+                let id = if kind == 4 { id } else { format!("{id}x") };
+                self.fleet.workers[worker].crash();
+                self.open.push((end, Recovery::RestartWorker(worker, id)));
+            }
+            6 | 7 => {
+                self.fleet.workers[worker].drain();
+                let recovery = Recovery::EndWorker(worker, kind == 6);
+                self.open.push((end, recovery));
+            }
+            8 => {
+                self.fleet.store.set_unavailable(true);
+                self.open.push((end, Recovery::RestoreStore(None)));
+            }
+            9 => {
+                let endpoint = &self.fleet.store.endpoints[process].1;
+                endpoint.store(true, Ordering::Relaxed);
+                self.open.push((end, Recovery::RestoreStore(Some(process))));
+            }
+            10 => self.send_foreign_message(worker),
+            _ => {
+                self.manifest += 1;
+                let text = standin::manifest(self.manifest, "k-1");
+                self.fleet.store.put_manifest(&text);
+                self.fleet.signal_if_running(process, "-HUP");
+            }
+        }
+    }
+
+    /// Sends a heartbeat like that of the worker under another identifier, or a late notice of
+    /// departure under its own.
+    fn send_foreign_message(&mut self, worker: usize) {
+        let id = self.fleet.workers[worker].id();
+        if self.rng.random_bool(0.3) {
+            self.fleet.send_as_worker(worker, "DELETE", &id, "");
+        } else {
+            let body = self.fleet.workers[worker].heartbeat().to_string();
+            self.fleet.send_as_worker(worker, "PUT", "foreign", &body);
+        }
+    }
+
+    /// Ends the faults that are due, or all of them.
+    fn end_faults(&mut self, all: bool) {
+        let now = Instant::now();
+        let (due, open) = std::mem::take(&mut self.open)
+            .into_iter()
+            .partition(|(at, _)| all || *at <= now);
+        self.open = open;
+        let due: Vec<(Instant, Recovery)> = due;
+        for (_, recovery) in due {
+            self.note(format!("{recovery:?}"));
+            self.end_fault(recovery);
+        }
+    }
+
+    fn end_fault(&mut self, recovery: Recovery) {
+        match recovery {
+            Recovery::Spawn(process) => {
+                self.fleet.kill(process);
+                self.fleet.spawn(process);
+                self.busy[process] = false;
+            }
+            Recovery::Resume(process) => {
+                self.fleet.signal(process, "-CONT");
+                self.busy[process] = false;
+            }
+            Recovery::RestartWorker(worker, id) => {
+                let since_epoch = std::time::UNIX_EPOCH.elapsed().unwrap_or_default();
+                // A start time may lie before that of the former incarnation.
+                let offset = self.rng.random_range(0..5_000);
+                let born = since_epoch.as_millis() as u64 - offset;
+                self.fleet.workers[worker].restart(&id, born);
+                self.busy[GATEWAYS + SIDECARS + worker] = false;
+            }
+            Recovery::EndWorker(worker, in_time) => {
+                let id = self.fleet.workers[worker].id();
+                let deadline = Instant::now() + Duration::from_secs(3);
+                while !self.fleet.workers[worker].running().is_empty() && Instant::now() < deadline
+                {
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+                if in_time {
+                    self.fleet.send_as_worker(worker, "DELETE", &id, "");
+                }
+                self.fleet.workers[worker].crash();
+                let time = Duration::from_millis(self.rng.random_range(FAULT_MS));
+                let restart = Recovery::RestartWorker(worker, id);
+                self.open.push((Instant::now() + time, restart));
+            }
+            Recovery::RestoreStore(None) => self.fleet.store.set_unavailable(false),
+            Recovery::RestoreStore(Some(process)) => {
+                let endpoint = &self.fleet.store.endpoints[process].1;
+                endpoint.store(false, Ordering::Relaxed);
+            }
+        }
+    }
+}
+
+/// What a client saw: the paths of the accepted jobs, and answers that no rule allows.
+#[derive(Default)]
+struct Seen {
+    accepted: Vec<String>,
+    odd: Vec<String>,
+}
+
+/// Submits jobs until it is told to stop, on connections that it keeps open.
+fn run_client(number: usize, gateways: Vec<SocketAddr>, seed: u64, stop: &AtomicBool) -> Seen {
+    let mut rng = SmallRng::seed_from_u64(seed * 100 + number as u64);
+    let mut seen = Seen::default();
+    block_on(async {
+        let client = HttpClient::default();
+        let mut next = 0;
+        while !stop.load(Ordering::Relaxed) {
+            next += 1;
+            let path = format!("/pairs/{:016x}", (number << 32) + next);
+            let (first, second) = (rng.random_range(1..4), rng.random_range(1..3));
+            let ms = rng.random_range(100..2_500);
+            let body = standin::job(&[(first, 1), (second, 1)], ms);
+            loop {
+                let gateway = gateways[rng.random_range(0..gateways.len())];
+                let request = http::Request::post(&path)
+                    .header("host", "pairs.example")
+                    .header("authorization", "Token k-1")
+                    .header("hibiscusbarrow-deadline-ms", "3000")
+                    .body(Bytes::from(body.clone()))
+                    .expect("the request is valid");
+                let reply = client.call(gateway, request, CALL_TIMEOUT, 1 << 20).await;
+                match reply.map(|r| r.status().as_u16()) {
+                    Ok(200) => {
+                        seen.accepted.push(path.clone());
+                        break;
+                    }
+                    Ok(429 | 502 | 503 | 504) | Err(_) => {}
+                    Ok(status) => seen.odd.push(format!("POST {path} at {gateway}: {status}")),
+                }
+                if stop.load(Ordering::Relaxed) {
+                    break;
+                }
+                compio::time::sleep(Duration::from_millis(100)).await;
+            }
+            let pause = Duration::from_millis(rng.random_range(50..400));
+            compio::time::sleep(pause).await;
+        }
+    });
+    seen
+}
+
+/// Returns the pairs of runs that must not both have taken place: two of a task at the same time,
+/// or one after an acknowledged end as done.
+fn find_duplicates(fleet: &Fleet) -> Vec<String> {
+    let mut by_task: BTreeMap<String, Vec<(usize, SeenRun)>> = BTreeMap::new();
+    for (worker, standin) in fleet.workers.iter().enumerate() {
+        for run in standin.history() {
+            by_task
+                .entry(run.task.clone())
+                .or_default()
+                .push((worker, run));
+        }
+    }
+    let mut found = Vec::new();
+    for runs in by_task.values_mut() {
+        runs.sort_by_key(|(_, r)| r.started);
+        for (index, (worker, earlier)) in runs.iter().enumerate() {
+            for (other, later) in &runs[index + 1..] {
+                let beside = earlier.ended.is_none_or(|(at, _)| later.started < at);
+                let done = earlier.ended.is_some_and(|(_, end)| end == "done");
+                if beside || done && earlier.acknowledged {
+                    found.push(format!(
+                        "{} run {} on worker {other} beside={beside} of run {} on worker {worker}, \
+                         which ended {:?}",
+                        later.task,
+                        later.run,
+                        earlier.run,
+                        earlier.ended.map(|(_, end)| end)
+                    ));
+                }
+            }
+        }
+    }
+    found
+}
+
+/// Plays one seed; returns what broke a rule, with the faults that were drawn.
+fn play(seed: u64, time: Duration) -> Result<(), String> {
+    let mut soak = Soak::new(seed);
+    let stop = Arc::new(AtomicBool::new(false));
+    let gateways: Vec<SocketAddr> = (0..GATEWAYS).map(|g| soak.fleet.gateway_addr(g)).collect();
+    let clients: Vec<_> = (0..CLIENTS)
+        .map(|number| {
+            let (gateways, stop) = (gateways.clone(), stop.clone());
+            std::thread::spawn(move || run_client(number, gateways, seed, &stop))
+        })
+        .collect();
+    let end = soak.start + time;
+    while Instant::now() < end {
+        soak.begin_fault();
+        let pause = soak.rng.random_range(PAUSE_MS);
+        std::thread::sleep(Duration::from_millis(pause));
+        soak.end_faults(false);
+    }
+    while !soak.open.is_empty() {
+        soak.end_faults(true);
+    }
+    stop.store(true, Ordering::Relaxed);
+    let mut broken = Vec::new();
+    let mut accepted = Vec::new();
+    for client in clients {
+        let seen = client.join().expect("the client does not panic");
+        broken.extend(seen.odd);
+        accepted.extend(seen.accepted);
+    }
+    let deadline = Instant::now() + WAIT_TIMEOUT;
+    for path in &accepted {
+        while !soak.fleet.get_body(0, path).contains("completed") {
+            if Instant::now() > deadline {
+                broken.push(format!("{path} is {}", soak.fleet.get_body(0, path)));
+                break;
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+    broken.extend(find_duplicates(&soak.fleet));
+    if broken.is_empty() {
+        println!(
+            "seed {seed}: {} jobs, {} faults",
+            accepted.len(),
+            soak.log.len()
+        );
+        return Ok(());
+    }
+    soak.fleet.keep_logs();
+    let logs = soak.fleet.dir.display().to_string();
+    Err(format!(
+        "seed {seed}, logs in {logs}\nbroken:\n{}\nfaults:\n{}",
+        broken.join("\n"),
+        soak.log.join("\n")
+    ))
+}
+
+/// Returns a number from the environment.
+fn number_from(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+/// Returns the seeds named by `SOAK_SEEDS`, as the first and the last one.
+fn seeds() -> RangeInclusive<u64> {
+    let text = std::env::var("SOAK_SEEDS").unwrap_or_default();
+    let range = text.split_once('-');
+    let range = range.and_then(|(first, last)| Some(first.parse().ok()?..=last.parse().ok()?));
+    range.unwrap_or(DEFAULT_SEEDS)
+}
+
+/// Every accepted job completes, and no task runs twice at the same time or after it is done.
+#[test]
+fn no_task_runs_twice_and_no_job_is_lost_under_overlapping_faults() {
+    let seconds = number_from("SOAK_SECONDS").unwrap_or(DEFAULT_SECONDS);
+    let time = Duration::from_secs(seconds);
+    let seeds: Vec<u64> = seeds().collect();
+    let mut failures = Vec::new();
+    for seeds in seeds.chunks(PARALLEL) {
+        let threads: Vec<_> = seeds
+            .iter()
+            .map(|seed| {
+                let seed = *seed;
+                std::thread::spawn(move || play(seed, time))
+            })
+            .collect();
+        let results = threads.into_iter().map(|t| t.join().expect("no panic"));
+        failures.extend(results.filter_map(Result::err));
+    }
+    assert!(failures.is_empty(), "{}", failures.join("\n\n"));
+}
