Give up no run for missing in a full list of ends

Cause: a worker lists 500 ends at once; the ledger took them for all. A run that was neither running nor among them counted as over without an end.

Evidence: runs_that_ended_beyond_a_full_list_of_ends_are_not_restarted failed before (1,900 starts for 1,200 tasks).

Change: the platform's decoder marks a listing with 500 ends as partial, and the ledger gives up no run for not being in a partial listing.

--- a/crates/fleet/src/ledger/listing.rs
+++ b/crates/fleet/src/ledger/listing.rs
@@ -74,7 +74,9 @@
         }
         self.apply_ends(sidecar, &listing.ended, now);
         let listed = self.apply_running(sidecar, &boot, &listing.running, now);
-        self.settle_unlisted(sidecar, &listed, sent, now);
+        if !listing.is_partial {
+            self.settle_unlisted(sidecar, &listed, sent, now);
+        }
         self.adjust_pace(sidecar, now);
     }
 
@@ -246,7 +248,7 @@
         });
     }
 
-    /// Handles runs that a listing does not show.
+    /// Handles runs that a complete listing does not show.
     ///
     /// Only a poll that was sent after the run was accepted, or after its stop was
     /// confirmed, proves that the run is over.
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -91,6 +91,9 @@
     pub running: Vec<Running>,
     /// The runs that ended and are not acknowledged yet.
     pub ended: Vec<Ended>,
+    /// Whether further runs may have ended that are listed only once these are acknowledged.
+    #[serde(default)]
+    pub is_partial: bool,
 }
 
 /// A run in progress, as a worker lists it.
--- a/crates/fleet/tests/suite/departures.rs
+++ b/crates/fleet/tests/suite/departures.rs
@@ -4,6 +4,8 @@
 use crate::fixtures::job;
 use crate::fixtures::step;
 use crate::fixtures::worker;
+use hibiscusbarrow_fleet::record::State;
+use hibiscusbarrow_fleet::worker::End;
 use hibiscusbarrow_fleet::worker::Resources;
 use std::time::Duration;
 
@@ -80,6 +82,29 @@
     assert!(cluster.stops.is_empty(), "{:?}", cluster.stops);
 }
 
+/// Guards against runs that are given up because the list of ends is full: tasks that were done
+/// ran again.
+#[test]
+fn runs_that_ended_beyond_a_full_list_of_ends_are_not_restarted() {
+    let mut large = worker("w1", "r1");
+    large.capacity.cpu = 1_000_000;
+    large.capacity.memory = 1_000_000;
+    let mut cluster = cluster().with_worker("n1", large);
+    cluster.submit(job("j", vec![step(1_200, 0)]));
+    cluster.advance(SETTLE_TIME);
+    assert_eq!(cluster.starts.len(), 1_200);
+
+    let fake = cluster.workers.get_mut("n1").expect("the worker exists");
+    let keys: Vec<_> = fake.running.keys().cloned().collect();
+    for key in keys {
+        fake.end_run(&key, End::Done);
+    }
+    cluster.advance(Duration::from_secs(1));
+
+    assert_eq!(cluster.starts.len(), 1_200);
+    assert_eq!(cluster.stored["j"].0.state(), State::Completed);
+}
+
 #[test]
 fn a_batch_fits_into_one_store_transaction() {
     const MAX_TXN_ENTRIES: usize = 32;
--- a/crates/fleet/tests/suite/fixtures.rs
+++ b/crates/fleet/tests/suite/fixtures.rs
@@ -27,6 +27,9 @@
 /// The wall clock at the start of each test, in milliseconds since the Unix epoch.
 pub const START_UNIX_MS: u64 = 1_700_000_000_000;
 
+/// The most ends that a worker lists at once.
+const LISTED_ENDS: usize = 500;
+
 /// A worker that carries out every order for its identifier while it is reachable.
 #[derive(Clone)]
 pub struct FakeWorker {
@@ -335,7 +338,8 @@
             born: self.boot.born,
             clock: now.as_millis() as u64,
             running: self.running.iter_mut().map(list_run).collect(),
-            ended: self.ended.clone(),
+            ended: self.ended.iter().take(LISTED_ENDS).cloned().collect(),
+            is_partial: self.ended.len() >= LISTED_ENDS,
         }
     }
 
--- a/crates/fleet/tests/suite/model.rs
+++ b/crates/fleet/tests/suite/model.rs
@@ -754,6 +754,7 @@
             load: 0,
         };
         let listing = Listing {
+            is_partial: false,
             born: worker.boot.born,
             clock: worker.clock(self.now),
             running: worker.running.iter().map(list_run).collect(),
--- a/src/cmd/bench/ledger.rs
+++ b/src/cmd/bench/ledger.rs
@@ -134,6 +134,7 @@
             remaining: None,
         };
         let listing = Listing {
+            is_partial: false,
             born: 1,
             clock: self.now.as_millis() as u64,
             running: self.running[sidecar].clone(),
