--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -434,8 +434,8 @@
         }
         for slot in self.slots(now) {
             summary.usable += 1;
-            summary.gpus_usable += slot.total.gpus;
-            summary.gpus_free += slot.free.gpus;
+            summary.gpus_usable = summary.gpus_usable.saturating_add(slot.total.gpus);
+            summary.gpus_free = summary.gpus_free.saturating_add(slot.free.gpus);
         }
         summary
     }
--- a/crates/fleet/src/occurrences.rs
+++ b/crates/fleet/src/occurrences.rs
@@ -12,6 +12,12 @@
 }
 
 impl Occurrences {
+    /// Returns whether the ranges are as this type keeps them; another writer's may not be.
+    pub fn is_valid(&self) -> bool {
+        let ascending = self.ranges.iter().all(|(start, end)| start < end);
+        ascending && self.ranges.windows(2).all(|pair| pair[0].1 < pair[1].0)
+    }
+
     /// Returns whether the set has no occurrence.
     pub fn is_empty(&self) -> bool {
         self.ranges.is_empty()
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -7,6 +7,10 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+/// The number of tasks with progress from which a record is compacted. Versions that do not
+/// know compacted records can still read those of jobs with fewer tasks.
+const MIN_COMPACTED_TASKS: usize = 1_000;
+
 /// The stored state of a job: all that must survive a restart of every process.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Record {
@@ -34,10 +38,6 @@
     pub compacted: Occurrences,
 }
 
-/// The number of tasks with progress from which a record is compacted. Versions that do not
-/// know compacted records can still read those of jobs with fewer tasks.
-const MIN_COMPACTED_TASKS: usize = 1_000;
-
 /// The progress of one task.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(default)]
@@ -225,6 +225,9 @@
             return Err(format!("job.id: is {:?}, expected {id:?}", self.job.id));
         }
         self.job.validate().map_err(|e| format!("job.{e}"))?;
+        if !self.compacted.is_valid() {
+            return Err("completed.ranges: must be ascending, with a gap between any two".into());
+        }
         let mut last = None;
         for (position, (occurrence, step, index, _)) in self.tasks.iter().enumerate() {
             let key = (*occurrence, *step, *index);
--- a/crates/fleet/tests/suite/records.rs
+++ b/crates/fleet/tests/suite/records.rs
@@ -52,6 +52,13 @@
     for (record, error) in cases {
         assert_eq!(Record::decode("j", &record.encode()), Err(error.into()));
     }
+    for ranges in ["[[3,2]]", "[[0,2],[2,3]]", "[[5,6],[1,2]]"] {
+        let text = String::from_utf8(record_with(&[]).encode()).expect("JSON is text");
+        let odd = format!("\"completed\":{{\"ranges\":{ranges}}}");
+        let text = text.replace("\"tasks\":[]", &odd);
+        let error = Record::decode("j", text.as_bytes()).expect_err("the ranges are invalid");
+        assert!(error.starts_with("completed.ranges: "), "{error}");
+    }
     let other = record_with(&[]).encode();
     assert_eq!(
         Record::decode("k", &other),
