--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -40,6 +40,47 @@
 /// The time in which a process ends after SIGTERM; `grace-s` of the settings is 3.
 const GRACE: Duration = Duration::from_millis(3_500);
 
+/// A kind of fault.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    KillProcess,
+    TerminateProcess,
+    SuspendProcess,
+    /// The worker crashes and starts again under its identifier.
+    CrashWorker,
+    /// The worker crashes and starts again under another identifier.
+    ReplaceWorker,
+    /// The worker drains, says that it ends, and starts again later.
+    RemoveWorker,
+    /// The same, but the notice of its end never arrives.
+    RemoveSilently,
+    StopStore,
+    /// The store refuses the calls of one process.
+    CutFromStore,
+    /// Another process sends a heartbeat in place of the worker.
+    ForeignHeartbeat,
+    /// A notice of departure arrives although the worker goes on.
+    LateNotice,
+    ChangeManifest,
+}
+
+impl Fault {
+    const ALL: [Fault; 12] = [
+        Fault::KillProcess,
+        Fault::TerminateProcess,
+        Fault::SuspendProcess,
+        Fault::CrashWorker,
+        Fault::ReplaceWorker,
+        Fault::RemoveWorker,
+        Fault::RemoveSilently,
+        Fault::StopStore,
+        Fault::CutFromStore,
+        Fault::ForeignHeartbeat,
+        Fault::LateNotice,
+        Fault::ChangeManifest,
+    ];
+}
+
 /// The end of a fault.
 #[derive(Clone, Debug)]
 enum Recovery {
@@ -49,7 +90,7 @@
     Resume(usize),
     /// Starts a worker again under an identifier.
     RestartWorker(usize, String),
-    /// Ends a draining worker as planned, with or without a notice that arrives in time.
+    /// Ends a draining worker, after a notice of its end or without one.
     EndWorker(usize, bool),
     /// Makes the store available to a process, or to all.
     RestoreStore(Option<usize>),
@@ -89,76 +130,86 @@
 
     /// Draws one fault and begins it, unless its target is under another one.
     fn begin_fault(&mut self) {
+        let fault = Fault::ALL[self.rng.random_range(0..Fault::ALL.len())];
         let process = self.rng.random_range(0..GATEWAYS + SIDECARS);
         let worker = self.rng.random_range(0..SIDECARS);
         let time = Duration::from_millis(self.rng.random_range(FAULT_MS));
-        let end = Instant::now() + time;
-        let kind = self.rng.random_range(0..12);
-        let target = if (4..8).contains(&kind) {
-            GATEWAYS + SIDECARS + worker
-        } else {
-            process
+        let target = match fault {
+            Fault::KillProcess | Fault::TerminateProcess | Fault::SuspendProcess => Some(process),
+            Fault::CrashWorker
+            | Fault::ReplaceWorker
+            | Fault::RemoveWorker
+            | Fault::RemoveSilently => Some(GATEWAYS + SIDECARS + worker),
+            _ => None,
         };
-        if kind < 8 && std::mem::replace(&mut self.busy[target], true) {
+        if target.is_some_and(|t| std::mem::replace(&mut self.busy[t], true)) {
             return;
         }
         self.note(format!(
-            "kind={kind} process={process} worker={worker} {time:?}"
+            "{fault:?} process={process} worker={worker} {time:?}"
         ));
-        match kind {
-            0 => {
+        if let Some((after, recovery)) = self.apply(fault, process, worker) {
+            let end = Instant::now() + after.unwrap_or(time);
+            self.open.push((end, recovery));
+        }
+    }
+
+    /// Begins a fault; returns its recovery, with the time until then if that is not drawn.
+    fn apply(
+        &mut self,
+        fault: Fault,
+        process: usize,
+        worker: usize,
+    ) -> Option<(Option<Duration>, Recovery)> {
+        let id = self.fleet.workers[worker].id();
+        match fault {
+            Fault::KillProcess => {
                 self.fleet.kill(process);
-                self.open.push((end, Recovery::Spawn(process)));
+                return Some((None, Recovery::Spawn(process)));
             }
-            1 => {
+            Fault::TerminateProcess => {
                 self.fleet.signal(process, "-TERM");
-                let end = Instant::now() + GRACE;
-                self.open.push((end, Recovery::Spawn(process)));
+                return Some((Some(GRACE), Recovery::Spawn(process)));
             }
-            2 | 3 => {
+            Fault::SuspendProcess => {
                 self.fleet.signal(process, "-STOP");
-                self.open.push((end, Recovery::Resume(process)));
+                return Some((None, Recovery::Resume(process)));
             }
-            4 | 5 => {
-                let id = self.fleet.workers[worker].id();
-                let id = if kind == 4 { id } else { format!("{id}x") };
+            Fault::CrashWorker | Fault::ReplaceWorker => {
+                let replaced = matches!(fault, Fault::ReplaceWorker);
+                let id = if replaced { format!("{id}x") } else { id };
                 self.fleet.workers[worker].crash();
-                self.open.push((end, Recovery::RestartWorker(worker, id)));
+                return Some((None, Recovery::RestartWorker(worker, id)));
             }
-            6 | 7 => {
+            Fault::RemoveWorker | Fault::RemoveSilently => {
                 self.fleet.workers[worker].drain();
-                let recovery = Recovery::EndWorker(worker, kind == 6);
-                self.open.push((end, recovery));
+                let in_time = matches!(fault, Fault::RemoveWorker);
+                return Some((None, Recovery::EndWorker(worker, in_time)));
             }
-            8 => {
+            Fault::StopStore => {
                 self.fleet.store.set_unavailable(true);
-                self.open.push((end, Recovery::RestoreStore(None)));
+                return Some((None, Recovery::RestoreStore(None)));
             }
-            9 => {
+            Fault::CutFromStore => {
                 let endpoint = &self.fleet.store.endpoints[process].1;
                 endpoint.store(true, Ordering::Relaxed);
-                self.open.push((end, Recovery::RestoreStore(Some(process))));
+                return Some((None, Recovery::RestoreStore(Some(process))));
+            }
+            Fault::ForeignHeartbeat => {
+                let body = self.fleet.workers[worker].heartbeat().to_string();
+                self.fleet.send_as_worker(worker, "PUT", "foreign", &body);
             }
-            10 => self.send_foreign_message(worker),
-            _ => {
+            Fault::LateNotice => {
+                self.fleet.send_as_worker(worker, "DELETE", &id, "");
+            }
+            Fault::ChangeManifest => {
                 self.manifest += 1;
                 let text = standin::manifest(self.manifest, "k-1");
                 self.fleet.store.put_manifest(&text);
                 self.fleet.signal_if_running(process, "-HUP");
             }
         }
-    }
-
-    /// Sends a heartbeat like that of the worker under another identifier, or a late notice of
-    /// departure under its own.
-    fn send_foreign_message(&mut self, worker: usize) {
-        let id = self.fleet.workers[worker].id();
-        if self.rng.random_bool(0.3) {
-            self.fleet.send_as_worker(worker, "DELETE", &id, "");
-        } else {
-            let body = self.fleet.workers[worker].heartbeat().to_string();
-            self.fleet.send_as_worker(worker, "PUT", "foreign", &body);
-        }
+        None
     }
 
     /// Ends the faults that are due, or all of them.
