Start a process again that SIGHUP ended in the soak

Traced: it got SIGHUP 1 ms after its start (Spawn(0) at 4.501 s, the signal at 4.502 s), before it could have a handler; its log ends without a line of that start. The platform starts a process again that has ended; the soak did not, and does now.

--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -224,6 +224,13 @@
             self.note(format!("{recovery:?}"));
             self.end_fault(recovery);
         }
+        // As the platform does: SIGHUP ends a process that has just been started.
+        for process in 0..GATEWAYS + SIDECARS {
+            if !self.busy[process] && self.fleet.has_ended(process) {
+                self.note(format!("process {process} had ended"));
+                self.fleet.spawn(process);
+            }
+        }
     }
 
     fn end_fault(&mut self, recovery: Recovery) {
