--- a/review/standin-2/src/advice.rs
+++ b/review/standin-2/src/advice.rs
@@ -41,12 +41,19 @@
         }
         number += 1;
         let is_burst = trouble && BURST_MS.contains(&after);
-        after += if is_burst { INTERVAL_MS * 10 / BURST_TENTHS } else { INTERVAL_MS };
+        after += if is_burst {
+            INTERVAL_MS * 10 / BURST_TENTHS
+        } else {
+            INTERVAL_MS
+        };
     }
     let end = unix_ms();
     for second in 0..(FINISH_MS + IDLE_MS + 4_000) / 1_000 {
         sleep_until(end + second * 1_000);
-        let begun = accepted.iter().filter(|id| !cluster.starts(id).is_empty()).count();
+        let begun = accepted
+            .iter()
+            .filter(|id| !cluster.starts(id).is_empty())
+            .count();
         let (answered, rejected, abandoned) = policy.counts();
         cluster.record.note(&format!(
             "{begun} of {} jobs have begun; calls for advice: {answered} answered, {rejected} \
@@ -57,10 +64,15 @@
     std::thread::sleep(Duration::from_millis(100));
     cluster.note_events();
     let judged = end + FINISH_MS + IDLE_MS;
-    let idle = accepted.iter().filter(|id| cluster.starts(id).iter().all(|e| e.at > judged));
+    let idle = accepted
+        .iter()
+        .filter(|id| cluster.starts(id).iter().all(|e| e.at > judged));
     let idle: Vec<&String> = idle.collect();
     for id in &idle {
-        let text = format!("BROKEN: {id} has not begun {} ms after the last job came", FINISH_MS + IDLE_MS);
+        let text = format!(
+            "BROKEN: {id} has not begun {} ms after the last job came",
+            FINISH_MS + IDLE_MS
+        );
         cluster.record.note(&text);
     }
     Ok(idle.is_empty())
--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -27,7 +27,10 @@
     /// Returns a query parameter; empty if it is absent.
     pub fn param(&self, name: &str) -> &str {
         let pairs = self.query.split('&').filter_map(|p| p.split_once('='));
-        pairs.into_iter().find(|(n, _)| *n == name).map_or("", |(_, v)| v)
+        pairs
+            .into_iter()
+            .find(|(n, _)| *n == name)
+            .map_or("", |(_, v)| v)
     }
 
     /// Returns a query parameter as a number; 0 if it is absent.
@@ -40,7 +43,10 @@
 pub type Reply = Option<(u16, String)>;
 
 /// Serves requests, each connection on a thread of its own.
-pub fn serve(listener: TcpListener, handler: impl Fn(Request, &TcpStream) -> Reply + Send + Sync + 'static) {
+pub fn serve(
+    listener: TcpListener,
+    handler: impl Fn(Request, &TcpStream) -> Reply + Send + Sync + 'static,
+) {
     let handler = Arc::new(handler);
     std::thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -102,7 +108,12 @@
     let (path, query) = target.split_once('?').unwrap_or((target, ""));
     let (path, query) = (path.to_owned(), query.to_owned());
     let body = read_body(reader, &headers)?;
-    Some(Request { path, query, headers, body })
+    Some(Request {
+        path,
+        query,
+        headers,
+        body,
+    })
 }
 
 /// Sends a request on a new connection; none if there is no complete answer in time.
@@ -116,7 +127,10 @@
 ) -> Option<(u16, String)> {
     let mut stream = TcpStream::connect_timeout(&addr, timeout).ok()?;
     stream.set_read_timeout(Some(timeout)).ok()?;
-    let fields: String = headers.iter().map(|(n, v)| format!("{n}: {v}\r\n")).collect();
+    let fields: String = headers
+        .iter()
+        .map(|(n, v)| format!("{n}: {v}\r\n"))
+        .collect();
     let text = format!(
         "{method} {path} HTTP/1.1\r\n{fields}content-type: application/json\r\n\
          content-length: {}\r\nconnection: close\r\n\r\n{body}",
--- a/review/standin-2/src/lasting.rs
+++ b/review/standin-2/src/lasting.rs
@@ -19,7 +19,12 @@
 
 pub fn run(record: Record, trouble: bool) -> Result<Held, String> {
     let mut cluster = Cluster::start(3, WORKERS, record)?;
-    cluster.request(0, "POST", &format!("/pairs/{JOB}"), &job(1, 1, 1_000, "lasts"));
+    cluster.request(
+        0,
+        "POST",
+        &format!("/pairs/{JOB}"),
+        &job(1, 1, 1_000, "lasts"),
+    );
     std::thread::sleep(Duration::from_secs(3));
     let starts = cluster.starts(JOB);
     let [first] = &starts[..] else {
@@ -37,11 +42,17 @@
         // The first run goes on.
         return Ok(cluster.starts(JOB).len() == 1);
     }
-    let again = cluster.starts(JOB).into_iter().find(|e| e.at > lost).map(|e| e.at - lost);
+    let again = cluster
+        .starts(JOB)
+        .into_iter()
+        .find(|e| e.at > lost)
+        .map(|e| e.at - lost);
     let is_late = again.is_none_or(|after| after > RESTART_MS + IDLE_MS);
     if is_late {
         let after = again.map_or("never".to_owned(), |after| format!("after {after} ms"));
-        cluster.record.note(&format!("BROKEN: the task was started again {after}"));
+        cluster
+            .record
+            .note(&format!("BROKEN: the task was started again {after}"));
     }
     Ok(!is_late)
 }
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -8,11 +8,12 @@
 mod cluster;
 mod http;
 mod lasting;
-mod pending;
 mod policy;
 mod record;
 mod relisted;
+mod reserved;
 mod store;
+mod wide;
 mod withdrawn;
 mod worker;
 
@@ -27,7 +28,9 @@
 
 /// Returns the time in milliseconds since the Unix epoch.
 pub fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
     since.as_millis() as u64
 }
 
@@ -59,8 +62,9 @@
     let record = Record::new(path);
     let result = match name {
         "withdrawn" => withdrawn::run(record, trouble),
-        "pending" => pending::run(record, trouble),
         "advice" => advice::run(record, trouble),
+        "wide" => wide::run(record, trouble),
+        "reserved" => reserved::run(record, trouble),
         "relisted" => relisted::run(record, trouble),
         "lasting" => lasting::run(record, trouble),
         _ => Err(format!("unknown case {name}")),
--- a/review/standin-2/src/withdrawn.rs
+++ b/review/standin-2/src/withdrawn.rs
@@ -50,11 +50,15 @@
     let acknowledged = unix_ms();
     let is_acknowledged = answer.is_some_and(|(status, _)| status / 100 == 2 || status == 410);
     let (writes, lost) = cluster.store.writes_since(from);
-    cluster.record.note(&format!("the store left {lost} of {writes} writes unanswered"));
+    cluster.record.note(&format!(
+        "the store left {lost} of {writes} writes unanswered"
+    ));
     sleep_until(from + 12_000);
     cluster.note_events();
     if lost * 100 > writes * MAX_LOST_PERCENT {
-        return Err(format!("{lost} of {writes} writes were lost, which is too large a share"));
+        return Err(format!(
+            "{lost} of {writes} writes were lost, which is too large a share"
+        ));
     }
     if !is_acknowledged {
         return Ok(true);
@@ -64,7 +68,10 @@
     let late: Vec<_> = late.collect();
     for e in &late {
         let after = e.at - acknowledged;
-        let text = format!("BROKEN: {} started {after} ms after the DELETE was answered", e.task);
+        let text = format!(
+            "BROKEN: {} started {after} ms after the DELETE was answered",
+            e.task
+        );
         cluster.record.note(&text);
     }
     Ok(late.is_empty())
