--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,7 +1,7 @@
 #!/bin/sh
-# Runs the case `advice`: exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
+# Runs the case `wide`: exits with 1 if the rule was broken, 0 if it held, 2 if it could not run.
 # TROUBLE=0 leaves the disruption out. Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-2/release/review-standin-2
 [ -x "$program" ] && [ -x target/release/hibiscusbarrow ] || exit 2
-"$program" advice review/6/record.txt
+"$program" wide review/6/record.txt
