Let the requests to the policy service follow its answers

What callers saw: after a burst of jobs under a policy the waiting ones never started, if the service was slower than the queue states (LOST).

Cause: the limit of open requests followed the stated times. At 0.38 s for a stated 18 ms, 38 requests were open at a service that handles one at a time; they were given up or came back too old, and were sent again.

Change: the number of open requests grows with answers in time and is halved by late, refused and missing ones. Failures pause all requests, not those of one step. The timeout follows the stated time, and E1618 says how long an answer took.

The simulated service of the tests now takes its own time for a request, lets requests time out, refuses the 33rd and checks tokens.

--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -327,10 +327,8 @@
     fenced: bool,
     /// When checkpoints were last copied into the records.
     checkpoints_saved: Duration,
-    /// The requests to the policy service that have no answer yet.
-    open_requests: Vec<policy::OpenRequest>,
-    /// The requests that steps ask for in the present plan.
-    wanted_requests: Vec<policy::OpenRequest>,
+    /// The requests to the policy service.
+    requests: policy::Requests,
     /// The time of the last plan.
     planned_at: Duration,
     /// Since when workers of each service were last reserved while it was mostly idle.
@@ -353,8 +351,7 @@
             pending_starts: Vec::new(),
             fenced: false,
             checkpoints_saved: now,
-            open_requests: Vec::new(),
-            wanted_requests: Vec::new(),
+            requests: policy::Requests::default(),
             planned_at: now,
             reserving_since: HashMap::new(),
         }
--- a/crates/fleet/src/ledger/policy.rs
+++ b/crates/fleet/src/ledger/policy.rs
@@ -11,13 +11,19 @@
 /// How long an approval must still be valid, so that a start order reaches the worker
 /// in time.
 const ORDER_DELIVERY_MARGIN: Duration = Duration::from_millis(300);
-/// A request without an answer for this long is taken for lost.
-const REQUEST_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long an answer is awaited at least.
+const MIN_TIMEOUT: Duration = Duration::from_secs(3);
+/// A request without a result for this long after its timeout is taken for lost.
+const RESULT_DELAY: Duration = Duration::from_secs(2);
 /// How long the policy service may need for the requests that are open at the same time. It handles
 /// those of one machine in turn, and an answer that has waited for others is less long valid.
 const MAX_OPEN_TIME: Duration = Duration::from_millis(700);
-/// The time between a failed request and the next one.
+/// The most requests that are open at the same time.
+const MAX_OPEN_REQUESTS: usize = 8;
+/// The time between a failed request and the next one; it doubles with each failure in a row.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
+/// The largest number of these doublings.
+const MAX_DOUBLINGS: u32 = 3;
 
 /// A request to the policy service: which of these workers may run a step?
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -30,6 +36,8 @@
     pub step: u32,
     /// The identifiers that the workers announce.
     pub workers: Vec<SmolStr>,
+    /// How long to wait for the answer.
+    pub timeout: Duration,
 }
 
 impl ApprovalRequest {
@@ -60,6 +68,62 @@
     sent: Duration,
 }
 
+/// The requests to the policy service, and how many it can answer at present.
+#[derive(Debug, Default)]
+pub(super) struct Requests {
+    /// Those that steps ask for in the present plan.
+    wanted: Vec<OpenRequest>,
+    /// Those that have no answer yet.
+    open: Vec<OpenRequest>,
+    /// How many of the last requests were answered in time, up to the limit of open ones. Late
+    /// answers halve it.
+    window: usize,
+    /// The number of requests in a row that failed.
+    failures: u32,
+    /// No request is sent before this time.
+    paused_until: Duration,
+}
+
+impl Requests {
+    /// Returns whether another request may be sent beside the open ones.
+    fn admits(&self, request: &OpenRequest, now: Duration) -> bool {
+        if self.open.is_empty() {
+            return now >= self.paused_until;
+        }
+        let times = self.open.iter().map(|r| r.service_time);
+        let open_time = times.fold(request.service_time, Duration::saturating_add);
+        now >= self.paused_until && self.open.len() < self.window && open_time <= MAX_OPEN_TIME
+    }
+
+    /// Adapts the number of open requests to an answer that took `time`; none if the request
+    /// failed.
+    fn adapt(&mut self, time: Option<Duration>, now: Duration) {
+        match time {
+            Some(time) if time <= MAX_OPEN_TIME => {
+                self.window = (self.window + 1).min(MAX_OPEN_REQUESTS);
+            }
+            _ => self.window /= 2,
+        }
+        if time.is_some() {
+            self.failures = 0;
+            return;
+        }
+        let doublings = self.failures.min(MAX_DOUBLINGS);
+        self.paused_until = now + RETRY_DELAY * (1 << doublings);
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    /// Returns how long to wait for the answer to a request.
+    fn timeout(&self, service_time: Duration) -> Duration {
+        let timeout = service_time.saturating_mul(2).max(MIN_TIMEOUT);
+        if self.failures > 0 {
+            timeout.saturating_mul(2)
+        } else {
+            timeout
+        }
+    }
+}
+
 impl Approval {
     fn is_valid(&self, now: Duration) -> bool {
         now + ORDER_DELIVERY_MARGIN < self.valid_until
@@ -86,7 +150,7 @@
             return true;
         }
         let is_open = |r: &OpenRequest| r.request.job == *id && r.request.is_for(occurrence, step);
-        if now < approval.next_request || self.open_requests.iter().any(is_open) {
+        if now < approval.next_request || self.requests.open.iter().any(is_open) {
             return false;
         }
         let service = &entry.record.job.service;
@@ -98,12 +162,13 @@
             .collect::<Vec<_>>();
         let workers_ms = policy.per_worker_ms.saturating_mul(workers.len() as u64);
         let service_time = Duration::from_millis(policy.decision_ms.saturating_add(workers_ms));
-        self.wanted_requests.push(OpenRequest {
+        self.requests.wanted.push(OpenRequest {
             request: ApprovalRequest {
                 job: id.clone(),
                 occurrence,
                 step,
                 workers,
+                timeout: self.requests.timeout(service_time),
             },
             service_time,
             sent: now,
@@ -114,22 +179,21 @@
     /// Sends the requests that the policy service can answer soon: those of steps that were asked
     /// for least often, then of the most urgent ones.
     pub(super) fn send_requests(&mut self, now: Duration) {
-        self.open_requests
-            .retain(|r| now < r.sent + REQUEST_TIMEOUT);
-        let mut wanted = std::mem::take(&mut self.wanted_requests);
+        self.requests
+            .open
+            .retain(|r| now < r.sent + r.request.timeout + RESULT_DELAY);
+        let mut wanted = std::mem::take(&mut self.requests.wanted);
         wanted.sort_by_key(|w| self.approval_of(&w.request).map_or(0, |a| a.requests));
-        for open in wanted {
-            let times = self.open_requests.iter().map(|r| r.service_time);
-            let open_time = times.fold(open.service_time, Duration::saturating_add);
-            if !self.open_requests.is_empty() && open_time > MAX_OPEN_TIME {
+        for request in wanted {
+            if !self.requests.admits(&request, now) {
                 break;
             }
-            if let Some(approval) = self.approval_of(&open.request) {
+            if let Some(approval) = self.approval_of(&request.request) {
                 approval.requests = approval.requests.saturating_add(1);
             }
-            let request = open.request.clone();
-            self.effects.push(Effect::RequestApproval(request));
-            self.open_requests.push(open);
+            self.effects
+                .push(Effect::RequestApproval(request.request.clone()));
+            self.requests.open.push(request);
         }
     }
 
@@ -172,7 +236,9 @@
         let is_same = |r: &OpenRequest| {
             r.request.job == request.job && r.request.is_for(request.occurrence, request.step)
         };
-        self.open_requests.retain(|r| !is_same(r));
+        self.requests.open.retain(|r| !is_same(r));
+        let time = answer.is_some().then(|| now.saturating_sub(sent));
+        self.requests.adapt(time, now);
         let Some(entry) = self.jobs.get_mut(&request.job) else {
             return;
         };
--- a/crates/fleet/tests/suite/features.rs
+++ b/crates/fleet/tests/suite/features.rs
@@ -176,43 +176,6 @@
     assert_eq!((sidecar.as_str(), start.approval.as_str()), ("n2", "token"));
 }
 
-/// After a burst of jobs, the retries of their requests kept the policy service busy without end:
-/// each answer came when its request had been given up, and the jobs never started.
-#[test]
-fn jobs_under_a_policy_start_after_a_burst() {
-    let mut cluster = cluster();
-    for n in 0..8 {
-        cluster.add_worker(&format!("n{n}"), worker(&format!("w{n}"), "r1"));
-    }
-    cluster.run_time = Some(Duration::from_secs(1));
-    cluster.policy_time = Some(Duration::from_millis(380));
-    let policy = Policy {
-        decision_ms: 300,
-        per_worker_ms: 10,
-        valid_ms: 3_000,
-    };
-    let interval = Duration::from_millis(550);
-    let phases = [(10, interval), (4, interval * 10 / 27), (20, interval)];
-    let mut jobs = 0;
-    for (seconds, interval) in phases {
-        let end = cluster.now + Duration::from_secs(seconds);
-        while cluster.now < end {
-            cluster.submit(Job {
-                policy: Some(policy),
-                ..job(&format!("job{jobs}"), vec![step(1, 1)])
-            });
-            jobs += 1;
-            cluster.advance(interval);
-        }
-    }
-
-    cluster.advance(Duration::from_secs(14));
-
-    let is_open = |n: &i32| cluster.state(&format!("job{n}")) != State::Completed;
-    let open: Vec<_> = (0..jobs).filter(is_open).collect();
-    assert!(open.is_empty(), "of {jobs} jobs: {open:?}");
-}
-
 #[test]
 fn a_worker_that_fails_different_jobs_in_a_row_is_quarantined_for_a_limited_time() {
     let mut cluster = cluster().with_worker("n1", worker("w1", "r1"));
--- a/crates/fleet/tests/suite/fixtures.rs
+++ b/crates/fleet/tests/suite/fixtures.rs
@@ -1,8 +1,8 @@
 //! A simulated cluster: a ledger, a store that commits every batch, and fake workers.
 
+use crate::policy_service::PolicyService;
 use hibiscusbarrow_fleet::job::Job;
 use hibiscusbarrow_fleet::job::Step;
-use hibiscusbarrow_fleet::ledger::ApprovalRequest;
 use hibiscusbarrow_fleet::ledger::Bounds;
 use hibiscusbarrow_fleet::ledger::Effect;
 use hibiscusbarrow_fleet::ledger::Ledger;
@@ -18,13 +18,13 @@
 use hibiscusbarrow_fleet::worker::Ended;
 use hibiscusbarrow_fleet::worker::Listing;
 use hibiscusbarrow_fleet::worker::Order;
+use hibiscusbarrow_fleet::worker::Refusal;
 use hibiscusbarrow_fleet::worker::Resources;
 use hibiscusbarrow_fleet::worker::Running;
 use hibiscusbarrow_fleet::worker::Start;
 use hibiscusbarrow_fleet::worker::TaskId;
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
-use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -35,8 +35,6 @@
 const MAX_BATCHES: usize = 10_000;
 /// The most ends that a worker lists at once.
 const LISTED_ENDS: usize = 500;
-/// How long the answer to a request to the policy service is awaited.
-const POLICY_TIMEOUT: Duration = Duration::from_secs(3);
 /// The time between two polls of a worker.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -103,13 +101,10 @@
     pub run_time: Option<Duration>,
     /// Every crash of a worker, with the runs that were lost.
     pub crashes: Vec<Crash>,
-    /// The time that the policy service needs for a request; it handles one at a time and
-    /// approves all workers. None if requests get no answer.
-    pub policy_time: Option<Duration>,
-    /// The requests to the policy service that have no answer, and when they were sent.
-    pub policy_queue: VecDeque<(ApprovalRequest, Duration)>,
-    /// When the policy service has handled the first of them.
-    policy_done: Duration,
+    /// The policy service; without it, requests get no answer.
+    pub policy: Option<PolicyService>,
+    /// The number of starts that were refused for their tokens.
+    pub stale_tokens: usize,
     /// Starts that took more resources than their worker had, with the sidecar.
     pub overfull: Vec<(SmolStr, TaskId)>,
     /// When each run started.
@@ -142,9 +137,8 @@
         downtime: Duration::from_secs(3),
         run_time: None,
         crashes: Vec::new(),
-        policy_time: None,
-        policy_queue: VecDeque::new(),
-        policy_done: Duration::ZERO,
+        policy: None,
+        stale_tokens: 0,
         overfull: Vec::new(),
         started: BTreeMap::new(),
     }
@@ -455,32 +449,31 @@
         true
     }
 
-    /// Lets the policy service handle requests, whether their answers are still awaited or not.
+    /// Hands the results of requests to the policy service to the ledger.
     fn answer_requests(&mut self) {
-        let Some(time) = self.policy_time else {
+        let Some(policy) = &mut self.policy else {
             return;
         };
-        while self.policy_done <= self.now
-            && let Some((request, sent)) = self.policy_queue.pop_front()
-        {
-            let is_awaited = self.now < sent + POLICY_TIMEOUT;
-            let tokens = request.workers.iter().map(|w| (w.clone(), "token".into()));
-            let answer = is_awaited.then(|| tokens.collect());
+        for result in policy.advance(self.now) {
             self.ledger
-                .handle_approvals(&request, sent, self.now, answer);
-            self.policy_done = self.now + time;
+                .handle_approvals(&result.request, result.sent, self.now, result.approvals);
         }
     }
 
+    /// Returns whether a worker refuses an order for its token.
+    fn refuses_token(&self, boot: &Boot, order: &Order) -> bool {
+        let (Order::Start(start), Some(policy)) = (order, &self.policy) else {
+            return false;
+        };
+        let needs_token = self.stored[&start.task.job].0.job.policy.is_some();
+        needs_token && !policy.accepts(&start.approval, &boot.id, self.now)
+    }
+
     /// Delivers the pending orders to the workers, and their answers to the ledger.
     pub fn deliver_orders(&mut self) {
         for effect in self.ledger.take_effects() {
-            if let Effect::RequestApproval(request) = &effect {
-                if self.policy_queue.is_empty() {
-                    let time = self.policy_time.unwrap_or_default();
-                    self.policy_done = self.policy_done.max(self.now + time);
-                }
-                self.policy_queue.push_back((request.clone(), self.now));
+            if let (Effect::RequestApproval(request), Some(policy)) = (&effect, &mut self.policy) {
+                policy.receive(request.clone(), self.now);
             }
             let Effect::Send {
                 sidecar,
@@ -490,9 +483,16 @@
             else {
                 continue;
             };
+            let refuses_token = self.refuses_token(&boot, &order);
             let fake = self.workers.get_mut(&sidecar).expect("the worker exists");
-            let answer = fake.handle_order(&boot, &order);
+            let answer = if refuses_token {
+                self.stale_tokens += 1;
+                Answer::Refused(Refusal::Ticket)
+            } else {
+                fake.handle_order(&boot, &order)
+            };
             match &order {
+                Order::Start(_) if refuses_token => {}
                 Order::Start(start) => {
                     self.started
                         .insert((start.task.clone(), start.run), self.now);
@@ -603,7 +603,6 @@
     }
 
     fn handle_order(&mut self, boot: &Boot, order: &Order) -> Answer {
-        use hibiscusbarrow_fleet::worker::Refusal;
         if !self.reachable {
             return Answer::Silent;
         }
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -11,6 +11,8 @@
 mod model;
 mod occurrences;
 mod order;
+mod policies;
+mod policy_service;
 mod records;
 mod reservations;
 mod rules;
--- /dev/null
+++ b/crates/fleet/tests/suite/policies.rs
@@ -0,0 +1,79 @@
+//! Jobs under a policy, whose workers a service with limited capacity approves.
+
+use crate::fixtures::cluster;
+use crate::fixtures::job;
+use crate::fixtures::step;
+use crate::fixtures::worker;
+use crate::policy_service::PolicyService;
+use hibiscusbarrow_fleet::job::Job;
+use hibiscusbarrow_fleet::job::Policy;
+use hibiscusbarrow_fleet::record::State;
+use std::time::Duration;
+
+/// Submits a job of one task each 0.55 s, and each 0.15 s for 4 s after the first 10 s, to
+/// eight workers; returns the jobs that are open 14 s after the last one, and the number of jobs.
+fn open_after_burst(stated: Policy, service: PolicyService) -> (Vec<i32>, i32) {
+    let mut cluster = cluster();
+    for n in 0..8 {
+        cluster.add_worker(&format!("n{n}"), worker(&format!("w{n}"), "r1"));
+    }
+    cluster.run_time = Some(Duration::from_secs(1));
+    cluster.policy = Some(service);
+    let interval = Duration::from_millis(550);
+    let phases = [
+        (10, interval),
+        (4, Duration::from_millis(150)),
+        (20, interval),
+    ];
+    let mut jobs = 0;
+    for (seconds, interval) in phases {
+        let end = cluster.now + Duration::from_secs(seconds);
+        while cluster.now < end {
+            cluster.submit(Job {
+                policy: Some(stated),
+                ..job(&format!("job{jobs}"), vec![step(1, 1)])
+            });
+            jobs += 1;
+            cluster.advance(interval);
+        }
+    }
+
+    cluster.advance(Duration::from_secs(14));
+
+    let is_open = |n: &i32| cluster.state(&format!("job{n}")) != State::Completed;
+    ((0..jobs).filter(is_open).collect(), jobs)
+}
+
+fn policy(decision_ms: u64, per_worker_ms: u64) -> Policy {
+    Policy {
+        decision_ms,
+        per_worker_ms,
+        valid_ms: 3_000,
+    }
+}
+
+/// After a burst of jobs, the retries of their requests kept the policy service busy without end:
+/// each answer came when its request had been given up, and the jobs never started.
+#[test]
+fn jobs_under_a_policy_start_after_a_burst() {
+    let (open, jobs) = open_after_burst(policy(300, 10), PolicyService::new(300, 10));
+
+    assert!(open.is_empty(), "of {jobs} jobs: {open:?}");
+}
+
+/// The number of open requests followed the stated times alone, so that a service slower than
+/// stated was kept busy with requests that had been given up.
+#[test]
+fn jobs_under_a_policy_start_after_a_burst_although_it_is_slower_than_stated() {
+    for skips_given_up in [false, true] {
+        let mut service = PolicyService::new(300, 10);
+        service.skips_given_up = skips_given_up;
+
+        let (open, jobs) = open_after_burst(policy(10, 1), service);
+
+        assert!(
+            open.is_empty(),
+            "of {jobs} jobs: {open:?}; skips={skips_given_up}"
+        );
+    }
+}
--- a/crates/roles/src/fleet/placer.rs
+++ b/crates/roles/src/fleet/placer.rs
@@ -485,15 +485,16 @@
         compio::runtime::spawn(async move {
             let answer = policy(request.clone()).await;
             let detail = match &answer {
-                Ok(approvals) => format!(
-                    "step={}.{} asked={} approved={}",
-                    request.occurrence,
-                    request.step,
-                    request.workers.len(),
-                    approvals.len()
-                ),
-                Err(e) => format!("step={}.{} failed: {e}", request.occurrence, request.step),
+                Ok(approvals) => format!("approved={}", approvals.len()),
+                Err(e) => format!("failed: {e}"),
             };
+            let detail = format!(
+                "step={}.{} asked={} after={:?} {detail}",
+                request.occurrence,
+                request.step,
+                request.workers.len(),
+                shared.clock.now().saturating_sub(sent)
+            );
             shared
                 .log
                 .emit(Event::PolicyAnswered, request.job.clone(), detail);
