Ask the policy about all workers of a service in turn

What callers saw: in a service of over 100 workers, a job had no start if its policy allows none of the first 100, and a step that needs more than 100 workers had no start beyond them.

Cause: each request named the same first 100 workers, and its answer replaced the one before. It was made before it was known whether there was room for the step, and named workers that had been denied.

Change: decisions and tokens are kept by worker, and add up. A request is made for tasks that the valid tokens could not place, and names workers that could take them; denied ones are not named again. What has no room asks for workers that it does not know yet only.

--- a/crates/fleet/src/ledger/fit.rs
+++ b/crates/fleet/src/ledger/fit.rs
@@ -6,6 +6,7 @@
 use super::TaskKey;
 use super::plan::BEYOND_GUARANTEE;
 use super::plan::GUARANTEED;
+use super::policy::ApprovalState;
 use super::required_resources;
 use crate::job::Step;
 use crate::worker::Boot;
@@ -154,7 +155,7 @@
     }
 
     /// Returns whether a task of a candidate may start beside the runs on the worker.
-    fn admits(&self, candidate: &Candidate, index: u32) -> bool {
+    pub(super) fn admits(&self, candidate: &Candidate, index: u32) -> bool {
         let may_share = !candidate.is_suspect(index) || candidate.impatient.contains(&index);
         self.vacant || (may_share && !self.on_trial)
     }
@@ -306,30 +307,16 @@
         Some(required_resources(job.steps.get(task.step as usize)?))
     }
 
-    /// Returns whether a worker may run a step at all, whatever its free capacity.
-    pub(super) fn is_eligible(&self, entry: &Entry, candidate: &Candidate, slot: &Slot) -> bool {
-        let step = &entry.record.job.steps[candidate.step as usize];
-        slot.service == entry.record.job.service
-            && (step.label.is_empty() || slot.labels.contains(&step.label))
-            && self
-                .approval(
-                    &candidate.job,
-                    candidate.occurrence,
-                    candidate.step,
-                    &slot.boot.id,
-                )
-                .is_some()
-    }
-
     /// Finds a worker for each task, and takes the resources from its slot.
     ///
-    /// Returns the tasks that fit, each with the position of its slot; for a gang,
-    /// either all or none.
+    /// Workers that have less than the `least` state of approval are passed over. Returns the tasks
+    /// that fit, each with the position of its slot; for a gang, either all or none.
     pub(super) fn fit(
         &self,
         candidate: &Candidate,
         slots: &mut [Slot],
         area: &Area,
+        least: ApprovalState,
         now: Duration,
     ) -> Vec<(u32, usize)> {
         let Some(entry) = self.jobs.get(&candidate.job) else {
@@ -355,7 +342,7 @@
                     && slot.free.covers(&required)
                     && (slot.admits(candidate, *index) || beside_member())
                     && in_area(slot, area)
-                    && self.is_eligible(entry, candidate, slot)
+                    && is_eligible(entry, candidate, slot, least, now)
                     && below_worker_limit(entry, candidate, step, slot, *slot_index, &placed)
             };
             let best = slots.iter().enumerate().filter(is_suitable);
@@ -405,17 +392,43 @@
     }
 
     /// Returns the racks that have a worker which suits a step.
-    pub(super) fn racks(&self, candidate: &Candidate, slots: &[Slot]) -> BTreeSet<SmolStr> {
+    pub(super) fn racks(
+        &self,
+        candidate: &Candidate,
+        slots: &[Slot],
+        now: Duration,
+    ) -> BTreeSet<SmolStr> {
         let Some(entry) = self.jobs.get(&candidate.job) else {
             return BTreeSet::new();
         };
         let suitable = slots
             .iter()
-            .filter(|s| self.is_eligible(entry, candidate, s));
+            .filter(|s| is_eligible(entry, candidate, s, ApprovalState::Unknown, now));
         suitable.map(|s| s.rack.clone()).collect()
     }
 }
 
+/// Returns whether a worker has the service and the label that a step needs.
+pub(super) fn suits(entry: &Entry, candidate: &Candidate, slot: &Slot) -> bool {
+    let step = &entry.record.job.steps[candidate.step as usize];
+    slot.service == entry.record.job.service
+        && (step.label.is_empty() || slot.labels.contains(&step.label))
+}
+
+/// Returns whether a worker may run a step at all, whatever its free capacity, as far as its
+/// approval has at least the state `least`.
+pub(super) fn is_eligible(
+    entry: &Entry,
+    candidate: &Candidate,
+    slot: &Slot,
+    least: ApprovalState,
+    now: Duration,
+) -> bool {
+    let (occurrence, step) = (candidate.occurrence, candidate.step);
+    suits(entry, candidate, slot)
+        && entry.approval_state(occurrence, step, &slot.boot, now) >= least
+}
+
 pub(super) fn in_area(slot: &Slot, area: &Area) -> bool {
     match area {
         Area::Any => true,
--- a/crates/fleet/src/ledger/orders.rs
+++ b/crates/fleet/src/ledger/orders.rs
@@ -225,8 +225,8 @@
                 }
             }
             Answer::Refused(Refusal::Ticket) => {
-                if let Some(entry) = self.jobs.get_mut(id) {
-                    entry.approvals.remove(&(key.0, key.1));
+                if let (Some(entry), Some(boot)) = (self.jobs.get_mut(id), &worker.boot) {
+                    entry.expire_token(key.0, key.1, boot);
                 }
             }
             Answer::Refused(Refusal::Boot) => worker.last_contact = None,
--- a/crates/fleet/src/ledger/plan.rs
+++ b/crates/fleet/src/ledger/plan.rs
@@ -10,6 +10,7 @@
 use super::fit::Candidate;
 use super::fit::Demand;
 use super::fit::Slot;
+use super::policy::ApprovalState;
 use super::task_id;
 use crate::record::Placement;
 use crate::record::Record;
@@ -25,7 +26,7 @@
 /// that can run its whole gang.
 const MAX_LOCALITY_WAIT: Duration = Duration::from_secs(8);
 /// How long a step waits before workers are reserved for it.
-const RESERVATION_DELAY: Duration = Duration::from_millis(1_500);
+pub(super) const RESERVATION_DELAY: Duration = Duration::from_millis(1_500);
 /// The most steps that have workers reserved at the same time.
 const MAX_RESERVATIONS: usize = 2;
 /// How long workers of a service stay reserved while less than half of it is in use. Other
@@ -76,9 +77,6 @@
         let mut unmet: Vec<Demand> = Vec::new();
         let mut trials = Vec::new();
         for candidate in self.candidates(&classes, &slots, now, wall) {
-            if !self.ensure_approved(&candidate.job, candidate.occurrence, candidate.step, now) {
-                continue;
-            }
             if self.give_up_after_tries(&candidate, now) {
                 continue;
             }
@@ -101,6 +99,7 @@
                 unmet.extend(demand);
                 unplaced
             };
+            self.want_approvals(&candidate, &slots, &areas, now);
             let budget = match candidate.class {
                 GUARANTEED => Some(u64::MAX),
                 BEYOND_GUARANTEE if !candidate.late => Some(MAX_URGENT_COST),
@@ -251,7 +250,7 @@
         if !on_one_rack && step.rack.is_empty() {
             return vec![Area::Any];
         }
-        let racks = self.racks(candidate, slots);
+        let racks = self.racks(candidate, slots, now);
         let mut areas = Vec::new();
         if on_one_rack {
             let fits = |rack: &SmolStr| {
@@ -262,7 +261,10 @@
                     slot.reserved = false;
                 }
                 let area = Area::Rack(rack.clone());
-                !self.fit(candidate, &mut empty, &area, now).is_empty()
+                let least = ApprovalState::Unknown;
+                !self
+                    .fit(candidate, &mut empty, &area, least, now)
+                    .is_empty()
             };
             let mut sufficient: Vec<SmolStr> = racks.iter().filter(|r| fits(r)).cloned().collect();
             if candidate.is_urgent() {
@@ -293,7 +295,7 @@
     ) -> Option<Candidate> {
         let mut unplaced = candidate;
         for area in areas {
-            let placed = self.fit(&unplaced, slots, area, now);
+            let placed = self.fit(&unplaced, slots, area, ApprovalState::Valid, now);
             if placed.is_empty() {
                 continue;
             }
@@ -387,7 +389,7 @@
         };
         let (sidecar, boot, number) = (run.sidecar.clone(), run.boot.clone(), run.number);
         let deadline = self.grant_lease(&sidecar, now);
-        let approval = self.approval(id, key.0, key.1, &boot.id);
+        let approval = self.approval(id, key.0, key.1, &boot);
         let (Some(deadline), Some(approval)) = (deadline, approval) else {
             self.mark_lost(id, key, "no contact with the worker or no approval", now);
             return;
@@ -433,7 +435,7 @@
             for slot in &mut empty {
                 slot.empty();
             }
-            let placed = self.fit(candidate, &mut empty, area, now);
+            let placed = self.fit(candidate, &mut empty, area, ApprovalState::Expired, now);
             if placed.is_empty() {
                 continue;
             }
--- a/crates/fleet/src/ledger/policy.rs
+++ b/crates/fleet/src/ledger/policy.rs
@@ -1,15 +1,26 @@
 //! Approvals of workers by the policy of a queue.
 
 use super::Effect;
+use super::Entry;
 use super::Ledger;
+use super::fit::Area;
+use super::fit::Candidate;
+use super::fit::Slot;
+use super::fit::below_worker_limit;
+use super::fit::in_area;
+use super::fit::suits;
+use super::plan::RESERVATION_DELAY;
+use super::required_resources;
+use crate::worker::Boot;
 use smol_str::SmolStr;
 use std::collections::HashMap;
 use std::time::Duration;
 
-/// The most workers that one request names.
+/// The most workers that one request may name.
 const MAX_WORKERS: usize = 100;
-/// How long an approval must still be valid, so that a start order reaches the worker
-/// in time.
+/// The most workers that a request names for a single task.
+const MAX_WORKERS_PER_TASK: usize = 30;
+/// How long a token must still be valid, so that a start order reaches the worker in time.
 const ORDER_DELIVERY_MARGIN: Duration = Duration::from_millis(300);
 /// How long an answer is awaited at least.
 const MIN_TIMEOUT: Duration = Duration::from_secs(3);
@@ -34,8 +45,8 @@
     pub occurrence: u32,
     /// The step, from 0.
     pub step: u32,
-    /// The identifiers that the workers announce.
-    pub workers: Vec<SmolStr>,
+    /// The workers, in their present incarnations.
+    pub workers: Vec<Boot>,
     /// How long to wait for the answer.
     pub timeout: Duration,
 }
@@ -46,25 +57,54 @@
     }
 }
 
-/// The newest approvals of the policy for one step.
+/// What the policy service has said about one step.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Approval {
-    /// The approval token of each worker, by the worker's identifier.
-    tokens: HashMap<SmolStr, SmolStr>,
-    valid_until: Duration,
-    /// When the policy may be asked again.
+    /// Its decision about each worker that was named. It never changes its decisions.
+    decisions: HashMap<Boot, PolicyDecision>,
+    /// When it may be asked again.
     next_request: Duration,
-    /// How often the policy was asked.
+    /// How often it was asked.
     requests: u32,
 }
 
-/// A request to the policy service that is to be sent, or has no answer yet.
+#[derive(Clone, Debug)]
+enum PolicyDecision {
+    Denied,
+    Approved {
+        token: SmolStr,
+        /// Until when a start with the token may be ordered.
+        usable_until: Duration,
+    },
+}
+
+/// What is known of whether a worker may run a step, from the worst to the best.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub(super) enum ApprovalState {
+    /// The policy does not allow it.
+    Denied,
+    /// The policy was not asked.
+    Unknown,
+    /// The policy allows it, but the token has expired.
+    Expired,
+    /// The policy allows it, or there is none.
+    Valid,
+}
+
+/// A request to the policy service that a step asks for.
+#[derive(Clone, Debug)]
+struct WantedRequest {
+    open: OpenRequest,
+    /// How often the step was asked for before.
+    requests: u32,
+}
+
+/// A request to the policy service that has no answer yet.
 #[derive(Clone, Debug)]
 pub(super) struct OpenRequest {
     request: ApprovalRequest,
-    /// The time that the service needs for it.
+    /// The time that the service needs for it, as the queue states.
     service_time: Duration,
-    /// The time of the plan that asked for it, and that sends it or drops it.
     sent: Duration,
 }
 
@@ -72,7 +112,7 @@
 #[derive(Debug, Default)]
 pub(super) struct Requests {
     /// Those that steps ask for in the present plan.
-    wanted: Vec<OpenRequest>,
+    wanted: Vec<WantedRequest>,
     /// Those that have no answer yet.
     open: Vec<OpenRequest>,
     /// How many of the last requests were answered in time, up to the limit of open ones. Late
@@ -85,14 +125,24 @@
 }
 
 impl Requests {
-    /// Returns whether another request may be sent beside the open ones.
-    fn admits(&self, request: &OpenRequest, now: Duration) -> bool {
-        if self.open.is_empty() {
-            return now >= self.paused_until;
-        }
+    /// Returns whether no further request may be sent now, however short.
+    fn is_full(&self, now: Duration) -> bool {
+        now < self.paused_until || (!self.open.is_empty() && self.open.len() >= self.window)
+    }
+
+    /// Returns whether a request may be sent beside the open ones.
+    fn admits(&self, service_time: Duration, now: Duration) -> bool {
         let times = self.open.iter().map(|r| r.service_time);
-        let open_time = times.fold(request.service_time, Duration::saturating_add);
-        now >= self.paused_until && self.open.len() < self.window && open_time <= MAX_OPEN_TIME
+        let open_time = times.fold(service_time, Duration::saturating_add);
+        !self.is_full(now) && (self.open.is_empty() || open_time <= MAX_OPEN_TIME)
+    }
+
+    /// Removes and returns the request to send next: those of steps that were asked for least
+    /// often first, then those of the most urgent ones.
+    fn take_next(&mut self) -> Option<WantedRequest> {
+        let sort_key = |(index, wanted): &(usize, &WantedRequest)| (wanted.requests, *index);
+        let (index, _) = self.wanted.iter().enumerate().min_by_key(sort_key)?;
+        Some(self.wanted.remove(index))
     }
 
     /// Adapts the number of open requests to an answer that took `time`; none if the request
@@ -124,82 +174,163 @@
     }
 }
 
-impl Approval {
-    fn is_valid(&self, now: Duration) -> bool {
-        now + ORDER_DELIVERY_MARGIN < self.valid_until
+impl Entry {
+    /// Returns what is known of whether a worker may run a step.
+    pub(super) fn approval_state(
+        &self,
+        occurrence: u32,
+        step: u32,
+        boot: &Boot,
+        now: Duration,
+    ) -> ApprovalState {
+        if self.record.job.policy.is_none() {
+            return ApprovalState::Valid;
+        }
+        let approval = self.approvals.get(&(occurrence, step));
+        match approval.and_then(|a| a.decisions.get(boot)) {
+            None => ApprovalState::Unknown,
+            Some(PolicyDecision::Denied) => ApprovalState::Denied,
+            Some(PolicyDecision::Approved { usable_until, .. }) if now < *usable_until => {
+                ApprovalState::Valid
+            }
+            Some(PolicyDecision::Approved { .. }) => ApprovalState::Expired,
+        }
+    }
+
+    /// Takes the token of a worker for a step as expired.
+    pub(super) fn expire_token(&mut self, occurrence: u32, step: u32, boot: &Boot) {
+        let approval = self.approvals.get_mut(&(occurrence, step));
+        let decision = approval.and_then(|a| a.decisions.get_mut(boot));
+        if let Some(PolicyDecision::Approved { usable_until, .. }) = decision {
+            *usable_until = Duration::ZERO;
+        }
     }
 }
 
 impl Ledger {
-    /// Returns whether a step may be placed; asks for approval if there is no valid one.
-    pub(super) fn ensure_approved(
+    /// Asks for the approvals that the tasks of a candidate lack to start now, and for those that
+    /// it lacks to wait for workers.
+    pub(super) fn want_approvals(
         &mut self,
-        id: &SmolStr,
-        occurrence: u32,
-        step: u32,
+        candidate: &Candidate,
+        slots: &[Slot],
+        areas: &[Area],
         now: Duration,
-    ) -> bool {
-        let Some(entry) = self.jobs.get_mut(id) else {
-            return false;
+    ) {
+        let id = &candidate.job;
+        let (occurrence, step) = (candidate.occurrence, candidate.step);
+        let Some(entry) = self.jobs.get(id) else {
+            return;
         };
         let Some(policy) = entry.record.job.policy else {
-            return true;
+            return;
         };
-        let approval = entry.approvals.entry((occurrence, step)).or_default();
-        if approval.is_valid(now) {
-            return true;
-        }
+        let approval = entry.approvals.get(&(occurrence, step));
         let is_open = |r: &OpenRequest| r.request.job == *id && r.request.is_for(occurrence, step);
-        if now < approval.next_request || self.requests.open.iter().any(is_open) {
-            return false;
+        if self.requests.is_full(now)
+            || approval.is_some_and(|a| now < a.next_request)
+            || self.requests.open.iter().any(is_open)
+        {
+            return;
+        }
+        let workers = self.workers_to_name(entry, candidate, slots, areas, now);
+        if workers.is_empty() {
+            return;
         }
-        let service = &entry.record.job.service;
-        let announced = self.workers.values().filter_map(|w| w.announced.as_ref());
-        let suitable = announced.filter(|a| a.service == *service && !a.is_ending());
-        let workers = suitable
-            .map(|a| a.boot.id.clone())
-            .take(MAX_WORKERS)
-            .collect::<Vec<_>>();
         let workers_ms = policy.per_worker_ms.saturating_mul(workers.len() as u64);
         let service_time = Duration::from_millis(policy.decision_ms.saturating_add(workers_ms));
-        self.requests.wanted.push(OpenRequest {
-            request: ApprovalRequest {
-                job: id.clone(),
-                occurrence,
-                step,
-                workers,
-                timeout: self.requests.timeout(service_time),
+        let request = ApprovalRequest {
+            job: id.clone(),
+            occurrence,
+            step,
+            workers,
+            timeout: self.requests.timeout(service_time),
+        };
+        let wanted = WantedRequest {
+            open: OpenRequest {
+                request,
+                service_time,
+                sent: now,
             },
-            service_time,
-            sent: now,
-        });
-        false
+            requests: approval.map_or(0, |a| a.requests),
+        };
+        self.requests.wanted.push(wanted);
+    }
+
+    /// Returns the workers that a request for a candidate names; none if it needs no request now.
+    ///
+    /// Those are workers with room, the ones with expired tokens first. Once the step may preempt
+    /// runs or has workers reserved, it has to know others that may run it as well.
+    fn workers_to_name(
+        &self,
+        entry: &Entry,
+        candidate: &Candidate,
+        slots: &[Slot],
+        areas: &[Area],
+        now: Duration,
+    ) -> Vec<Boot> {
+        let step = &entry.record.job.steps[candidate.step as usize];
+        let required = required_resources(step);
+        let has_room = !step.gang || {
+            let mut slots = slots.to_vec();
+            let mut fits = |area| {
+                let placed = self.fit(candidate, &mut slots, area, ApprovalState::Unknown, now);
+                !placed.is_empty()
+            };
+            areas.iter().any(&mut fits)
+        };
+        let may_wait = candidate.waited > RESERVATION_DELAY || candidate.is_urgent();
+        let rank = |(index, slot): (usize, &Slot)| {
+            let is_suitable = suits(entry, candidate, slot)
+                && slot.total.covers(&required)
+                && areas.iter().any(|a| in_area(slot, a));
+            let fits_now = has_room
+                && !slot.reserved
+                && slot.free.covers(&required)
+                && candidate.indices.iter().any(|i| slot.admits(candidate, *i))
+                && below_worker_limit(entry, candidate, step, slot, index, &[]);
+            let state = entry.approval_state(candidate.occurrence, candidate.step, &slot.boot, now);
+            let rank = match state {
+                _ if !is_suitable => None,
+                ApprovalState::Denied => None,
+                ApprovalState::Expired => fits_now.then_some(0),
+                ApprovalState::Unknown if fits_now => Some(1),
+                // The tokens of a gang have to be valid at the same time.
+                ApprovalState::Valid => (fits_now && step.gang).then_some(2),
+                ApprovalState::Unknown => may_wait.then_some(3),
+            };
+            rank.map(|rank| (rank, slot.boot.clone()))
+        };
+        let mut ranked: Vec<(u32, Boot)> = slots.iter().enumerate().filter_map(rank).collect();
+        if ranked.iter().all(|(rank, _)| *rank == 2) {
+            return Vec::new();
+        }
+        ranked.sort_by_key(|(rank, _)| *rank);
+        let wanted = candidate.indices.len().saturating_mul(2);
+        ranked.truncate(wanted.clamp(MAX_WORKERS_PER_TASK, MAX_WORKERS));
+        ranked.into_iter().map(|(_, boot)| boot).collect()
     }
 
-    /// Sends the requests that the policy service can answer soon: those of steps that were asked
-    /// for least often, then of the most urgent ones.
+    /// Sends the requests that the policy service can answer soon.
     pub(super) fn send_requests(&mut self, now: Duration) {
         self.requests
             .open
             .retain(|r| now < r.sent + r.request.timeout + RESULT_DELAY);
-        let mut wanted = std::mem::take(&mut self.requests.wanted);
-        wanted.sort_by_key(|w| self.approval_of(&w.request).map_or(0, |a| a.requests));
-        for request in wanted {
-            if !self.requests.admits(&request, now) {
+        while let Some(wanted) = self.requests.take_next() {
+            let open = wanted.open;
+            if !self.requests.admits(open.service_time, now) {
                 break;
             }
-            if let Some(approval) = self.approval_of(&request.request) {
+            let step = (open.request.occurrence, open.request.step);
+            if let Some(entry) = self.jobs.get_mut(&open.request.job) {
+                let approval = entry.approvals.entry(step).or_default();
                 approval.requests = approval.requests.saturating_add(1);
             }
             self.effects
-                .push(Effect::RequestApproval(request.request.clone()));
-            self.requests.open.push(request);
+                .push(Effect::RequestApproval(open.request.clone()));
+            self.requests.open.push(open);
         }
-    }
-
-    fn approval_of(&mut self, request: &ApprovalRequest) -> Option<&mut Approval> {
-        let step = (request.occurrence, request.step);
-        self.jobs.get_mut(&request.job)?.approvals.get_mut(&step)
+        self.requests.wanted.clear();
     }
 
     /// Returns the approval token of a worker for a step; empty if none is needed.
@@ -208,18 +339,17 @@
         id: &str,
         occurrence: u32,
         step: u32,
-        boot: &str,
+        boot: &Boot,
     ) -> Option<SmolStr> {
         let entry = self.jobs.get(id)?;
         if entry.record.job.policy.is_none() {
             return Some(SmolStr::default());
         }
-        entry
-            .approvals
-            .get(&(occurrence, step))?
-            .tokens
-            .get(boot)
-            .cloned()
+        let approval = entry.approvals.get(&(occurrence, step))?;
+        match approval.decisions.get(boot)? {
+            PolicyDecision::Approved { token, .. } => Some(token.clone()),
+            PolicyDecision::Denied => None,
+        }
     }
 
     /// Handles the answer to a request that was sent at `sent`.
@@ -245,13 +375,22 @@
         let valid = entry.record.job.policy.map_or(0, |p| p.valid_ms);
         let approval = entry.approvals.entry((request.occurrence, request.step));
         let approval = approval.or_default();
-        match answer {
-            Some(tokens) => {
-                approval.tokens = tokens.into_iter().collect();
-                approval.valid_until = sent + Duration::from_millis(valid);
-                approval.next_request = now;
-            }
-            None => approval.next_request = now + RETRY_DELAY,
+        let Some(tokens) = answer else {
+            approval.next_request = now + RETRY_DELAY;
+            return;
+        };
+        let valid = Duration::from_millis(valid);
+        let usable_until = sent + valid.saturating_sub(ORDER_DELIVERY_MARGIN);
+        let mut tokens: HashMap<SmolStr, SmolStr> = tokens.into_iter().collect();
+        for boot in &request.workers {
+            let decision = match tokens.remove(&boot.id) {
+                Some(token) => PolicyDecision::Approved {
+                    token,
+                    usable_until,
+                },
+                None => PolicyDecision::Denied,
+            };
+            approval.decisions.insert(boot.clone(), decision);
         }
     }
 }
--- a/crates/fleet/src/ledger/preempt.rs
+++ b/crates/fleet/src/ledger/preempt.rs
@@ -9,7 +9,9 @@
 use super::fit::Slot;
 use super::fit::below_worker_limit;
 use super::fit::in_area;
+use super::fit::is_eligible;
 use super::plan::GUARANTEED;
+use super::policy::ApprovalState;
 use super::required_resources;
 use crate::worker::Resources;
 use smol_str::SmolStr;
@@ -113,7 +115,7 @@
                     && !slot.on_trial
                     && (!slot.reserved || plan.used.contains(&slot_index))
                     && slot.total.covers(&required)
-                    && self.is_eligible(entry, candidate, slot)
+                    && is_eligible(entry, candidate, slot, ApprovalState::Expired, now)
                     && below_worker_limit(entry, candidate, step, slot, slot_index, &placed);
                 if !suitable {
                     continue;
--- a/crates/fleet/tests/suite/policies.rs
+++ b/crates/fleet/tests/suite/policies.rs
@@ -1,5 +1,6 @@
 //! Jobs under a policy, whose workers a service with limited capacity approves.
 
+use crate::fixtures::Cluster;
 use crate::fixtures::cluster;
 use crate::fixtures::job;
 use crate::fixtures::step;
@@ -7,7 +8,9 @@
 use crate::policy_service::PolicyService;
 use hibiscusbarrow_fleet::job::Job;
 use hibiscusbarrow_fleet::job::Policy;
+use hibiscusbarrow_fleet::job::Step;
 use hibiscusbarrow_fleet::record::State;
+use smol_str::format_smolstr;
 use std::time::Duration;
 
 /// Submits a job of one task each 0.55 s, and each 0.15 s for 4 s after the first 10 s, to
@@ -77,3 +80,73 @@
         );
     }
 }
+
+/// Returns a cluster of empty workers with 8 accelerators each, and a policy service.
+fn cluster_of(workers: usize, service: PolicyService) -> Cluster {
+    let mut cluster = cluster();
+    for n in 0..workers {
+        cluster.add_worker(&format!("n{n:03}"), worker(&format!("w{n:03}"), "r1"));
+    }
+    cluster.policy = Some(service);
+    cluster.advance(Duration::from_millis(300));
+    cluster
+}
+
+/// Each request named the same first 100 workers, so that a job whose policy allows only others
+/// never started.
+#[test]
+fn a_job_starts_although_its_policy_allows_none_of_the_first_hundred_workers() {
+    let mut service = PolicyService::new(30, 1);
+    service.denied = (0..110).map(|n| format_smolstr!("w{n:03}")).collect();
+    let mut cluster = cluster_of(120, service);
+    cluster.submit(Job {
+        policy: Some(policy(30, 1)),
+        ..job("j", vec![step(1, 1)])
+    });
+
+    cluster.advance(Duration::from_secs(5));
+
+    assert_eq!(cluster.starts.len(), 1);
+}
+
+/// A step whose tasks need more than 100 workers was approved on 100 of them only.
+#[test]
+fn a_step_under_a_policy_starts_on_more_than_a_hundred_workers() {
+    for gang in [false, true] {
+        let mut cluster = cluster_of(160, PolicyService::new(30, 1));
+        cluster.submit(Job {
+            policy: Some(policy(30, 1)),
+            ..job(
+                "j",
+                vec![Step {
+                    gang,
+                    ..step(150, 8)
+                }],
+            )
+        });
+
+        cluster.advance(Duration::from_secs(5));
+
+        assert_eq!(cluster.placements("j").len(), 150, "gang={gang}");
+    }
+}
+
+/// Steps asked for approval again each 3 s while all workers were busy, and left no time for those
+/// that could start.
+#[test]
+fn steps_without_room_do_not_keep_the_policy_service_busy() {
+    let mut cluster = cluster_of(8, PolicyService::new(300, 10));
+    cluster.submit(job("busy", vec![step(64, 1)]));
+    cluster.advance(Duration::from_secs(1));
+    for n in 0..20 {
+        cluster.submit(Job {
+            policy: Some(policy(300, 10)),
+            ..job(&format!("waiting{n}"), vec![step(1, 1)])
+        });
+    }
+
+    cluster.advance(Duration::from_secs(60));
+
+    let received = cluster.policy.as_ref().map_or(0, |p| p.received);
+    assert_eq!(received, 20);
+}
--- a/crates/fleet/tests/suite/policy_service.rs
+++ b/crates/fleet/tests/suite/policy_service.rs
@@ -128,7 +128,7 @@
         let Waiting { request, sent, .. } = waiting;
         let may_run =
             |w: &&SmolStr| !self.denied.contains(*w) && !self.denied_jobs.contains(&request.job);
-        let approved = request.workers.iter().filter(may_run);
+        let approved = request.workers.iter().map(|w| &w.id).filter(may_run);
         let approvals = approved
             .map(|w| (w.clone(), format_smolstr!("{w}@{}", now.as_millis())))
             .collect();
