Use the tokens of late answers of the policy service

What callers saw: no job of a queue started if a decision takes about as long as its token is valid, or longer.

Cause: the validity counted from the request. The protocol does not say from when it counts; a late answer was worth nothing, each time.

A worker refuses a start whose token has expired. The time left for an order is a third of the validity at most.

Measured: the new test has no start in 20 s with decisions of 2.9, 4 and 7 s before, one now.

--- a/crates/fleet/src/ledger/policy.rs
+++ b/crates/fleet/src/ledger/policy.rs
@@ -380,7 +380,10 @@
             return;
         };
         let valid = Duration::from_millis(valid);
-        let usable_until = sent + valid.saturating_sub(ORDER_DELIVERY_MARGIN);
+        let margin = ORDER_DELIVERY_MARGIN.min(valid / 3);
+        // The tokens were issued between the request and the answer. Those of a late answer are
+        // used once all the same; a worker refuses a start whose token has expired.
+        let usable_until = (sent + valid - margin).max(now + margin);
         let mut tokens: HashMap<SmolStr, SmolStr> = tokens.into_iter().collect();
         for boot in &request.workers {
             let decision = match tokens.remove(&boot.id) {
--- a/crates/fleet/tests/suite/policies.rs
+++ b/crates/fleet/tests/suite/policies.rs
@@ -150,3 +150,20 @@
     let received = cluster.policy.as_ref().map_or(0, |p| p.received);
     assert_eq!(received, 20);
 }
+
+/// An approval counted from its request, so that no answer of a service that takes longer than
+/// approvals are valid was of use.
+#[test]
+fn a_job_starts_although_the_policy_takes_longer_than_its_approval_is_valid() {
+    for decision_ms in [2_900, 4_000, 7_000] {
+        let mut cluster = cluster_of(4, PolicyService::new(decision_ms, 1));
+        cluster.submit(Job {
+            policy: Some(policy(decision_ms, 1)),
+            ..job("j", vec![step(1, 1)])
+        });
+
+        cluster.advance(Duration::from_secs(20));
+
+        assert_eq!(cluster.starts.len(), 1, "decision_ms={decision_ms}");
+    }
+}
