Share the turns at the policy service among accounts

What callers saw: jobs under a policy did not start beside 300 jobs of another account that the policy denies all workers.

Cause: the steps asked for least often came first, whoever their account was.

Change: guarantees first, then the account whose last turn is the longest ago, then its steps asked for least often.

--- a/crates/fleet/src/ledger/policy.rs
+++ b/crates/fleet/src/ledger/policy.rs
@@ -9,6 +9,7 @@
 use super::fit::below_worker_limit;
 use super::fit::in_area;
 use super::fit::suits;
+use super::plan::GUARANTEED;
 use super::plan::RESERVATION_DELAY;
 use super::required_resources;
 use crate::worker::Boot;
@@ -95,6 +96,9 @@
 #[derive(Clone, Debug)]
 struct WantedRequest {
     open: OpenRequest,
+    account: SmolStr,
+    /// Whether the job is within the guarantee of its account.
+    is_guaranteed: bool,
     /// How often the step was asked for before.
     requests: u32,
 }
@@ -122,6 +126,9 @@
     failures: u32,
     /// No request is sent before this time.
     paused_until: Duration,
+    /// The number of requests sent, and what it was at the last one for each client account.
+    sent: u64,
+    last_turns: HashMap<SmolStr, u64>,
 }
 
 impl Requests {
@@ -137,10 +144,13 @@
         !self.is_full(now) && (self.open.is_empty() || open_time <= MAX_OPEN_TIME)
     }
 
-    /// Removes and returns the request to send next: those of steps that were asked for least
-    /// often first, then those of the most urgent ones.
+    /// Removes and returns the request to send next: those for guarantees first, then those of the
+    /// account whose last turn is the longest ago, then those of steps that were asked for least.
     fn take_next(&mut self) -> Option<WantedRequest> {
-        let sort_key = |(index, wanted): &(usize, &WantedRequest)| (wanted.requests, *index);
+        let sort_key = |(index, wanted): &(usize, &WantedRequest)| {
+            let last_turn = self.last_turns.get(&wanted.account).copied();
+            (!wanted.is_guaranteed, last_turn, wanted.requests, *index)
+        };
         let (index, _) = self.wanted.iter().enumerate().min_by_key(sort_key)?;
         Some(self.wanted.remove(index))
     }
@@ -252,6 +262,8 @@
                 service_time,
                 sent: now,
             },
+            account: entry.record.job.account.clone(),
+            is_guaranteed: candidate.class == GUARANTEED,
             requests: approval.map_or(0, |a| a.requests),
         };
         self.requests.wanted.push(wanted);
@@ -321,6 +333,9 @@
             if !self.requests.admits(open.service_time, now) {
                 break;
             }
+            self.requests.sent += 1;
+            let turn = self.requests.sent;
+            self.requests.last_turns.insert(wanted.account, turn);
             let step = (open.request.occurrence, open.request.step);
             if let Some(entry) = self.jobs.get_mut(&open.request.job) {
                 let approval = entry.approvals.entry(step).or_default();
--- a/crates/fleet/tests/suite/policies.rs
+++ b/crates/fleet/tests/suite/policies.rs
@@ -151,6 +151,35 @@
     assert_eq!(received, 20);
 }
 
+/// The waiting steps of one account used up the time of the policy service.
+#[test]
+fn steps_that_a_policy_denies_leave_time_for_those_of_another_account() {
+    let mut service = PolicyService::new(300, 10);
+    service.denied_jobs = (0..300).map(|n| format_smolstr!("denied{n}")).collect();
+    let mut cluster = cluster_of(8, service);
+    cluster.run_time = Some(Duration::from_secs(1));
+    for n in 0..300 {
+        cluster.submit(Job {
+            policy: Some(policy(300, 10)),
+            ..job(&format!("denied{n}"), vec![step(1, 1)])
+        });
+    }
+    cluster.advance(Duration::from_secs(2));
+    for n in 0..5 {
+        cluster.submit(Job {
+            account: "other".into(),
+            policy: Some(policy(300, 10)),
+            ..job(&format!("other{n}"), vec![step(1, 1)])
+        });
+    }
+
+    cluster.advance(Duration::from_secs(10));
+
+    let is_open = |n: &i32| cluster.state(&format!("other{n}")) != State::Completed;
+    let open: Vec<_> = (0..5).filter(is_open).collect();
+    assert!(open.is_empty(), "{open:?}");
+}
+
 /// An approval counted from its request, so that no answer of a service that takes longer than
 /// approvals are valid was of use.
 #[test]
