Draw workloads under policies and slow policy services

A play draws 1 to 144 workers of which a policy allows some, a service as fast as stated or up to 30 times slower, jobs in a burst or one by one, gangs, jobs that the policy denies all workers, and a new placer.

--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod occurrences;
 mod order;
 mod policies;
+mod policy_plays;
 mod policy_service;
 mod records;
 mod reservations;
