--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod balance;
 pub mod bucket;
 pub mod budget;
+pub mod call_window;
 pub mod clock;
 pub mod drain;
 pub mod duty_cycle;
--- a/crates/fleet/src/ledger/policy.rs
+++ b/crates/fleet/src/ledger/policy.rs
@@ -13,6 +13,7 @@
 use super::plan::RESERVATION_DELAY;
 use super::required_resources;
 use crate::worker::Boot;
+use hibiscusbarrow_coordination::call_window::CallWindow;
 use smol_str::SmolStr;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -113,15 +114,13 @@
 }
 
 /// The requests to the policy service, and how many it can answer at present.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct Requests {
     /// Those that steps ask for in the present plan.
     wanted: Vec<WantedRequest>,
     /// Those that have no answer yet.
     open: Vec<OpenRequest>,
-    /// How many of the last requests were answered in time, up to the limit of open ones. Late
-    /// answers halve it.
-    window: usize,
+    window: CallWindow,
     /// The number of requests in a row that failed.
     failures: u32,
     /// No request is sent before this time.
@@ -131,10 +130,24 @@
     last_turns: HashMap<SmolStr, u64>,
 }
 
+impl Default for Requests {
+    fn default() -> Self {
+        Self {
+            wanted: Vec::new(),
+            open: Vec::new(),
+            window: CallWindow::new(1, 1..=MAX_OPEN_REQUESTS, MAX_OPEN_TIME),
+            failures: 0,
+            paused_until: Duration::ZERO,
+            sent: 0,
+            last_turns: HashMap::new(),
+        }
+    }
+}
+
 impl Requests {
     /// Returns whether no further request may be sent now, however short.
     fn is_full(&self, now: Duration) -> bool {
-        now < self.paused_until || (!self.open.is_empty() && self.open.len() >= self.window)
+        now < self.paused_until || self.open.len() >= self.window.limit()
     }
 
     /// Returns whether a request may be sent beside the open ones.
@@ -158,16 +171,12 @@
     /// Adapts the number of open requests to an answer that took `time`; none if the request
     /// failed.
     fn adapt(&mut self, time: Option<Duration>, now: Duration) {
-        match time {
-            Some(time) if time <= MAX_OPEN_TIME => {
-                self.window = (self.window + 1).min(MAX_OPEN_REQUESTS);
-            }
-            _ => self.window /= 2,
-        }
-        if time.is_some() {
+        if let Some(time) = time {
+            self.window.record_answer(time);
             self.failures = 0;
             return;
         }
+        self.window.record_failure();
         let doublings = self.failures.min(MAX_DOUBLINGS);
         self.paused_until = now + RETRY_DELAY * (1 << doublings);
         self.failures = self.failures.saturating_add(1);
