Limit the open starts at a worker by how fast it answers

Cause: a plan sent up to 500 starts to one worker at once, and more each 0.5 s. Those without an answer for 2.4 s were stopped and sent again, two more orders each, and other jobs waited behind them.

Change: a window of open starts for each worker, half of it for one job unless no other task of the plan needs it. Gangs stay whole.

--- a/crates/fleet/src/ledger/fit.rs
+++ b/crates/fleet/src/ledger/fit.rs
@@ -58,6 +58,9 @@
     pub(super) reserved: bool,
     /// The number of runs on the worker.
     runs: usize,
+    /// The starts that are planned for the worker or that it has not answered, and the most.
+    open_starts: usize,
+    max_starts: usize,
     /// Whether the worker answers and has no runs.
     pub(super) vacant: bool,
     /// Whether a run on the worker is on trial, so that nothing else may start there.
@@ -85,7 +88,7 @@
     pub(super) suspects: Vec<u32>,
     /// The suspects among them that may start beside other runs, by index.
     pub(super) impatient: Vec<u32>,
-    /// Whether trials may take workers that no other candidate needs.
+    /// Whether it may take the workers for trials and the open starts that no other candidate needs.
     pub(super) spare: bool,
     /// How long the step has been ready.
     pub(super) waited: Duration,
@@ -147,6 +150,18 @@
         self.excess = Resources::default();
         self.take(&lasting);
         self.vacant = !self.on_trial && !self.has_lasting;
+        self.admit_all_starts();
+    }
+
+    /// Lifts the limit to the starts that are open at the worker.
+    pub(super) fn admit_all_starts(&mut self) {
+        self.max_starts = usize::MAX;
+    }
+
+    /// Returns whether a job with `own` open starts at the worker may have another one. Half of the
+    /// starts are left to other jobs, unless they are `spare`.
+    fn admits_start(&self, own: usize, spare: bool) -> bool {
+        self.open_starts < self.max_starts && (spare || own < self.max_starts.div_ceil(2))
     }
 
     /// Returns whether a run is on trial on this worker of a service.
@@ -233,6 +248,8 @@
                 has_lasting: false,
                 reserved: false,
                 runs: 0,
+                open_starts: 0,
+                max_starts: worker.starts.limit(),
                 vacant: worker.silent_since.is_none(),
                 on_trial: false,
             });
@@ -244,6 +261,7 @@
                 slot.runs += 1;
                 slot.vacant = false;
                 slot.on_trial |= run.on_trial;
+                slot.open_starts += usize::from(run.is_start_open());
                 let step = self.jobs[id].step(key);
                 let required = required_resources(step);
                 slot.take(&required);
@@ -327,6 +345,7 @@
         let mut placed: Vec<(u32, usize)> = Vec::new();
         // The slot of each placed task, and whether it was vacant and on trial before.
         let mut former_trials: Vec<(usize, bool, bool)> = Vec::new();
+        let open_starts = entry.open_starts();
         for index in &candidate.indices {
             let is_suspect = candidate.is_suspect(*index);
             let is_limited = is_suspect && !step.gang && !candidate.impatient.contains(index);
@@ -334,12 +353,17 @@
                 continue;
             }
             let is_suitable = |(slot_index, slot): &(usize, &Slot)| {
+                let own_starts = || {
+                    let open = open_starts.get(&slot.sidecar).copied().unwrap_or(0);
+                    open + placed.iter().filter(|(_, p)| p == slot_index).count()
+                };
                 let beside_member = || {
                     let former = former_trials.iter().find(|(i, ..)| i == slot_index);
                     step.gang && former.is_some_and(|(_, vacant, _)| *vacant)
                 };
                 !slot.reserved
                     && slot.free.covers(&required)
+                    && (step.gang || slot.admits_start(own_starts(), candidate.spare))
                     && (slot.admits(candidate, *index) || beside_member())
                     && in_area(slot, area)
                     && is_eligible(entry, candidate, slot, least, now)
@@ -359,6 +383,7 @@
             let slot = &mut slots[slot_index];
             former_trials.push((slot_index, slot.vacant, slot.on_trial));
             slot.free.subtract(&required);
+            slot.open_starts += 1;
             slot.vacant = false;
             slot.on_trial |= is_suspect;
             placed.push((*index, slot_index));
@@ -367,6 +392,7 @@
             for (slot_index, vacant, on_trial) in former_trials.into_iter().rev() {
                 let slot = &mut slots[slot_index];
                 slot.free.add(&required);
+                slot.open_starts -= 1;
                 (slot.vacant, slot.on_trial) = (vacant, on_trial);
             }
             placed.clear();
@@ -374,6 +400,28 @@
         placed
     }
 
+    /// Returns whether tasks of a candidate would fit if their workers had answered more of the
+    /// starts that are open.
+    pub(super) fn awaits_answers(
+        &self,
+        candidate: &Candidate,
+        slots: &[Slot],
+        areas: &[Area],
+        now: Duration,
+    ) -> bool {
+        if slots.iter().all(|s| s.admits_start(s.open_starts, false)) {
+            return false;
+        }
+        let mut slots = slots.to_vec();
+        for slot in &mut slots {
+            slot.admit_all_starts();
+        }
+        areas.iter().any(|area| {
+            let placed = self.fit(candidate, &mut slots, area, ApprovalState::Valid, now);
+            !placed.is_empty()
+        })
+    }
+
     /// Returns what each task of a candidate needs, if nothing but service, label and
     /// resources restricts its workers and each task may start alone.
     pub(super) fn unconstrained_demand(&self, candidate: &Candidate) -> Option<Demand> {
--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -44,6 +44,7 @@
 use crate::worker::Order;
 use crate::worker::Resources;
 use crate::worker::TaskId;
+use hibiscusbarrow_coordination::call_window::CallWindow;
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
@@ -87,6 +88,13 @@
 /// Time for the last order of the previous placer to reach its worker.
 const ORDER_DELIVERY_SLACK: Duration = Duration::from_millis(500);
 
+/// The most starts that are open at a worker at first, and the least and the most later.
+const FIRST_STARTS: usize = 128;
+const MIN_STARTS: usize = 8;
+const MAX_STARTS: usize = 512;
+/// The time within which a worker that is not overloaded answers a start.
+const START_TARGET: Duration = Duration::from_millis(250);
+
 /// The phases of a run, from its plan to its end.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Phase {
@@ -221,6 +229,8 @@
     /// The identifier of the incarnation that has left, and when that became known; none once
     /// the worker answers again.
     departed: Option<(SmolStr, Duration)>,
+    /// Limits the starts that the worker has not answered.
+    starts: CallWindow,
 }
 
 /// An action for the caller of the ledger to carry out.
@@ -588,6 +598,15 @@
         };
     }
 
+    /// Returns how many starts of the job are open at each sidecar that has some.
+    fn open_starts(&self) -> HashMap<SmolStr, usize> {
+        let mut open = HashMap::new();
+        for run in self.runs.values().filter(|r| r.is_start_open()) {
+            *open.entry(run.sidecar.clone()).or_default() += 1;
+        }
+        open
+    }
+
     fn step(&self, key: TaskKey) -> &Step {
         &self.record.job.steps[key.1 as usize]
     }
@@ -626,6 +645,11 @@
         }
     }
 
+    /// Returns whether the start is planned, or sent and not answered.
+    fn is_start_open(&self) -> bool {
+        matches!(self.phase, Phase::Planned | Phase::Ordered)
+    }
+
     fn set_phase(&mut self, phase: Phase, now: Duration) {
         self.phase = phase;
         self.phase_since = now;
@@ -656,6 +680,7 @@
             health: health::Health::default(),
             speed: speed::Speed::default(),
             departed: None,
+            starts: CallWindow::new(FIRST_STARTS, MIN_STARTS..=MAX_STARTS, START_TARGET),
         }
     }
 
--- a/crates/fleet/src/ledger/orders.rs
+++ b/crates/fleet/src/ledger/orders.rs
@@ -171,6 +171,13 @@
             return;
         };
         let sidecar = run.sidecar.clone();
+        if let Some(worker) = self.workers.get_mut(&sidecar) {
+            if unconfirmed || *answer == Answer::Silent {
+                worker.starts.record_failure();
+            } else if let Some(started) = run.started_at {
+                worker.starts.record_answer(now.saturating_sub(started));
+            }
+        }
         run.start_unanswered |= unconfirmed || *answer == Answer::Silent;
         if *answer == Answer::Accepted {
             run.is_seen = true;
--- a/crates/fleet/src/ledger/plan.rs
+++ b/crates/fleet/src/ledger/plan.rs
@@ -75,7 +75,7 @@
         self.measure_records(names);
         let mut reservations = 0;
         let mut unmet: Vec<Demand> = Vec::new();
-        let mut trials = Vec::new();
+        let mut leftover = Vec::new();
         for candidate in self.candidates(&classes, &slots, now, wall) {
             if self.give_up_after_tries(&candidate, now) {
                 continue;
@@ -91,11 +91,14 @@
             } else {
                 let wanted = candidate.indices.len();
                 let unplaced = self.try_start(candidate, &mut slots, &areas, now);
-                let missed = unplaced.as_ref().map_or(0, |u| u.indices.len());
-                starts_left = starts_left.saturating_sub(wanted - missed);
+                starts_left = starts_left.saturating_sub(wanted - unplaced_tasks(&unplaced));
                 let Some(unplaced) = unplaced else {
                     continue;
                 };
+                if self.awaits_answers(&unplaced, &slots, &areas, now) {
+                    leftover.push((unplaced, areas));
+                    continue;
+                }
                 unmet.extend(demand);
                 unplaced
             };
@@ -115,15 +118,20 @@
                 reservations += usize::from(self.reserve(&candidate, &mut slots, &areas, now));
             }
             if candidate.is_trial() {
-                trials.push((candidate, areas));
+                leftover.push((candidate, areas));
             }
         }
-        for (candidate, areas) in trials {
+        for (candidate, areas) in leftover {
             let candidate = Candidate {
                 spare: true,
                 ..candidate
             };
-            self.try_start(candidate, &mut slots, &areas, now);
+            let Some(candidate) = self.limit_starts(candidate, names, starts_left) else {
+                continue;
+            };
+            let wanted = candidate.indices.len();
+            let unplaced = self.try_start(candidate, &mut slots, &areas, now);
+            starts_left = starts_left.saturating_sub(wanted - unplaced_tasks(&unplaced));
         }
         self.send_requests(now);
     }
@@ -463,6 +471,11 @@
     }
 }
 
+/// Returns the number of tasks that found no worker.
+fn unplaced_tasks(unplaced: &Option<Candidate>) -> usize {
+    unplaced.as_ref().map_or(0, |u| u.indices.len())
+}
+
 /// Returns the tasks of a step that are neither done nor started.
 fn idle_tasks(
     record: &Record,
--- a/crates/fleet/tests/suite/fixtures.rs
+++ b/crates/fleet/tests/suite/fixtures.rs
@@ -25,6 +25,7 @@
 use hibiscusbarrow_fleet::worker::TaskId;
 use smol_str::SmolStr;
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -35,6 +36,8 @@
 const MAX_BATCHES: usize = 10_000;
 /// The most ends that a worker lists at once.
 const LISTED_ENDS: usize = 500;
+/// How long a start waits for its answer, sent again once.
+pub const START_TIMEOUT: Duration = Duration::from_millis(2_400);
 /// The time between two polls of a worker.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -69,6 +72,12 @@
     pub loses_orders: bool,
     /// Whether orders are refused and not carried out, as the worker is unhealthy.
     pub refuses_orders: bool,
+    /// The runs that the worker was told to stop.
+    pub stopped: BTreeSet<(TaskId, u64)>,
+    /// How long the worker takes for a start, one after the other.
+    pub start_time: Duration,
+    /// When the worker has carried out the starts that it has received.
+    pub busy_until: Duration,
     /// When the worker is back after a crash, as another incarnation.
     pub back_at: Option<Duration>,
 }
@@ -107,10 +116,23 @@
     pub stale_tokens: usize,
     /// Starts that took more resources than their worker had, with the sidecar.
     pub overfull: Vec<(SmolStr, TaskId)>,
+    /// The starts that workers have received and not carried out, or not answered.
+    slow_starts: Vec<SlowStart>,
     /// When each run started.
     started: BTreeMap<(TaskId, u64), Duration>,
 }
 
+/// A start that its worker carries out later.
+struct SlowStart {
+    sidecar: SmolStr,
+    boot: Boot,
+    start: Box<Start>,
+    /// When the worker carries it out; none if it has.
+    done_at: Option<Duration>,
+    /// When the placer has given it up.
+    timeout_at: Duration,
+}
+
 /// The crash of a worker.
 pub struct Crash {
     /// The number of starts sent before it.
@@ -140,6 +162,7 @@
         policy: None,
         stale_tokens: 0,
         overfull: Vec::new(),
+        slow_starts: Vec::new(),
         started: BTreeMap::new(),
     }
 }
@@ -170,6 +193,9 @@
         ignores_stops: false,
         loses_orders: false,
         refuses_orders: false,
+        stopped: BTreeSet::new(),
+        start_time: Duration::ZERO,
+        busy_until: Duration::ZERO,
         back_at: None,
     }
 }
@@ -271,6 +297,7 @@
     pub fn tick(&mut self) {
         self.begin_tick();
         self.answer_requests();
+        self.answer_slow_starts();
         self.poll_all();
         self.plan();
     }
@@ -460,6 +487,42 @@
         }
     }
 
+    /// Lets slow workers carry out starts, and hands the answers and their lack to the ledger.
+    fn answer_slow_starts(&mut self) {
+        let mut waiting = Vec::new();
+        for mut slow in std::mem::take(&mut self.slow_starts) {
+            let order = Order::Start(slow.start.clone());
+            let mut answer = None;
+            if slow.done_at.is_some_and(|at| at <= self.now) {
+                let fake = self.workers.get_mut(&slow.sidecar);
+                let fake = fake.expect("the worker exists");
+                answer = Some(fake.handle_order(&slow.boot, &order));
+                self.started
+                    .insert((slow.start.task.clone(), slow.start.run), self.now);
+                slow.done_at = None;
+            }
+            let is_answered = slow.timeout_at <= self.now || answer.is_some();
+            // A start that was given up got its answer then.
+            if is_answered && slow.timeout_at != Duration::MAX {
+                let answer = answer.unwrap_or(Answer::Silent);
+                let unconfirmed = answer == Answer::Silent;
+                self.ledger.handle_answer(
+                    &slow.sidecar,
+                    &slow.boot,
+                    &order,
+                    &answer,
+                    unconfirmed,
+                    self.now,
+                );
+                slow.timeout_at = Duration::MAX;
+            }
+            if slow.done_at.is_some() {
+                waiting.push(slow);
+            }
+        }
+        self.slow_starts.extend(waiting);
+    }
+
     /// Returns whether a worker refuses an order for its token.
     fn refuses_token(&self, boot: &Boot, order: &Order) -> bool {
         let (Order::Start(start), Some(policy)) = (order, &self.policy) else {
@@ -485,6 +548,20 @@
             };
             let refuses_token = self.refuses_token(&boot, &order);
             let fake = self.workers.get_mut(&sidecar).expect("the worker exists");
+            if let Order::Start(start) = &order
+                && !fake.start_time.is_zero()
+            {
+                fake.busy_until = fake.busy_until.max(self.now) + fake.start_time;
+                self.starts.push((sidecar.clone(), (**start).clone()));
+                self.slow_starts.push(SlowStart {
+                    sidecar,
+                    boot,
+                    start: start.clone(),
+                    done_at: Some(fake.busy_until),
+                    timeout_at: self.now + START_TIMEOUT,
+                });
+                continue;
+            }
             let answer = if refuses_token {
                 self.stale_tokens += 1;
                 Answer::Refused(Refusal::Ticket)
@@ -613,10 +690,15 @@
             _ if self.loses_orders => return Answer::Silent,
             _ if self.refuses_orders => return Answer::Refused(Refusal::Unhealthy),
             Order::Start(start) => {
-                self.running.insert((start.task.clone(), start.run), 0);
+                let key = (start.task.clone(), start.run);
+                if self.stopped.contains(&key) {
+                    return Answer::Refused(Refusal::Old);
+                }
+                self.running.insert(key, 0);
             }
             Order::Stop { task, run } => {
                 let key = (task.clone(), *run);
+                self.stopped.insert(key.clone());
                 if self.running.contains_key(&key) && !self.ignores_stops {
                     self.end_run(&key, End::Stopped);
                 }
--- a/crates/fleet/tests/suite/wide.rs
+++ b/crates/fleet/tests/suite/wide.rs
@@ -1,6 +1,7 @@
 //! Jobs whose records come close to what the store takes.
 
 use crate::fixtures::Cluster;
+use crate::fixtures::START_TIMEOUT;
 use crate::fixtures::START_UNIX_MS;
 use crate::fixtures::cluster;
 use crate::fixtures::job;
@@ -19,6 +20,9 @@
 /// The length of the names of a sidecar and of its worker in these tests.
 const NAMES_BYTES: usize = 4;
 const SETTLE_TIME: Duration = Duration::from_millis(500);
+/// The most starts that are open at a worker at first, and the least later.
+const FIRST_STARTS: u32 = 128;
+const MIN_STARTS: usize = 8;
 
 /// Returns a step of tasks that fit on a worker by the thousand.
 fn tiny(count: u32) -> Step {
@@ -179,3 +183,60 @@
         }
     }
 }
+
+/// Submits a wide job to two workers that carry out one start after the other, and a small one of
+/// another account 1 s later.
+fn start_beside_wide_job(start_time: Duration, tasks: u32) -> Cluster {
+    let mut cluster = cluster_of(2, 1 << 20);
+    for worker in cluster.workers.values_mut() {
+        worker.start_time = start_time;
+    }
+    cluster.submit(job("wide", vec![tiny(tasks)]));
+    cluster.advance(Duration::from_secs(1));
+    cluster.submit(Job {
+        account: "other".into(),
+        ..job("other", vec![step(1, 1)])
+    });
+    cluster.advance(Duration::from_secs(3));
+    cluster
+}
+
+/// All starts that there was room for were sent at once; a worker that could not answer them in
+/// time got stops and further starts for each, and other jobs waited behind them.
+#[test]
+fn the_starts_that_are_open_at_a_worker_follow_how_fast_it_answers() {
+    for start_ms in [5, 10, 15] {
+        let start_time = Duration::from_millis(start_ms);
+        let mut cluster = start_beside_wide_job(start_time, 800);
+
+        let others = cluster.placements("other").len();
+        cluster.advance(start_time * 800);
+
+        let stops = cluster.stops.len();
+        let started = cluster.placements("wide").len();
+        assert_eq!((others, stops, started), (1, 0, 800), "{start_ms} ms");
+    }
+}
+
+/// A worker that is slower than the first starts suppose gets fewer from then on.
+#[test]
+fn a_worker_that_answers_no_start_in_time_gets_fewer() {
+    for start_ms in [40, 100] {
+        let start_time = Duration::from_millis(start_ms);
+        let mut cluster = start_beside_wide_job(start_time, 800);
+
+        cluster.advance(start_time * 800);
+
+        let stops = cluster.stops.len();
+        // The first starts of both workers, and the least ones for each timeout until these are
+        // carried out.
+        let timeouts = (start_time * FIRST_STARTS)
+            .div_duration_f64(START_TIMEOUT)
+            .ceil() as usize;
+        let most = 2 * (FIRST_STARTS as usize + MIN_STARTS * timeouts);
+        let open = [State::Running; 2];
+        assert!(stops <= most, "{stops} stops at {start_ms} ms");
+        assert_eq!([cluster.state("wide"), cluster.state("other")], open);
+        assert_eq!(cluster.placements("wide").len(), 800, "{start_ms} ms");
+    }
+}
