List the records again if some were dropped meanwhile

Cause: a standby whose gateways are being listed again has no rank, and drops the records that a listing of all keys brings in that time. At the end the rank is back, and the listing counted as complete.

Change: the cache counts dropped records, and a listing during which any were dropped is done once more.

--- a/crates/roles/src/fleet/cache/follow.rs
+++ b/crates/roles/src/fleet/cache/follow.rs
@@ -66,6 +66,7 @@
 impl StoreCache {
     /// Lists the keys of a feed and removes cached items that the store no longer has.
     async fn resync(&self, shared: &Shared, feed: &Feed) -> Result<(), StoreError> {
+        let drops = self.drops.get();
         let mut after = SmolStr::default();
         let mut first = None;
         let mut listed: HashSet<SmolStr> = HashSet::new();
@@ -100,8 +101,9 @@
             self.apply(shared, item);
         }
         feed.revision.set(revision);
-        // The records may have been released during the listing.
-        let is_kept = !feed.prefix.is_empty() || self.follows_records();
+        // A standby does not follow the records while the gateways are listed again.
+        let is_kept =
+            !feed.prefix.is_empty() || (self.follows_records() && self.drops.get() == drops);
         feed.synced.set(is_kept);
         Ok(())
     }
--- a/crates/roles/src/fleet/cache/mod.rs
+++ b/crates/roles/src/fleet/cache/mod.rs
@@ -90,6 +90,8 @@
     manifest: RefCell<Option<Rc<Manifest>>>,
     /// The manifest as stored.
     raw_manifest: RefCell<Bytes>,
+    /// How often records were dropped, as this gateway did not follow them.
+    drops: Cell<u64>,
     /// The newest known revision of each key.
     revisions: RefCell<HashMap<SmolStr, u64>>,
     /// Since when calls to the store fail; none while it answers.
@@ -119,6 +121,7 @@
             .map(Feed::new),
             manifest: RefCell::default(),
             raw_manifest: RefCell::default(),
+            drops: Cell::new(0),
             revisions: RefCell::default(),
             down_since: Cell::new(None),
             subscribers: RefCell::default(),
@@ -339,6 +342,7 @@
     pub fn apply(&self, shared: &Shared, item: Item) {
         let key = keys::parse(&item.key);
         if matches!(key, Key::Job(_) | Key::Worker(_)) && !self.follows_records() {
+            self.drops.set(self.drops.get() + 1);
             return;
         }
         let known = self.revisions.borrow().get(&item.key).copied().unwrap_or(0);
@@ -439,6 +443,7 @@
             return;
         }
         self.everything.synced.set(false);
+        self.drops.set(self.drops.get() + 1);
         self.jobs.borrow_mut().clear();
         self.workers.borrow_mut().clear();
         self.revisions
--- a/crates/roles/src/fleet/mod.rs
+++ b/crates/roles/src/fleet/mod.rs
@@ -4,7 +4,7 @@
 //! placement lease is the placer. Each sidecar passes orders on to the worker beside it.
 //! The ports in [`port`] abstract from the platform.
 
-mod cache;
+pub mod cache;
 mod callers;
 mod commit;
 mod deliver;
