Do not extend the lease of a worker that may be lost

Cause: polls extended the lease for 2.6 s after the last answer, and tasks start elsewhere only once the last lease has expired.

Change: a poll of a worker that left one unanswered extends no lease. A worker with long-running tasks has leases of 8 s.

Measured: the new test has no second start within 9 s before.

--- a/crates/fleet/src/ledger/orders.rs
+++ b/crates/fleet/src/ledger/orders.rs
@@ -17,6 +17,9 @@
 /// The difference between the longest lease and a granted one, which leaves time for the
 /// delivery of the grant.
 const LEASE_DELIVERY_SLACK: Duration = Duration::from_millis(200);
+/// The longest lease of a worker that runs long-running tasks. These have to run again 9 s after their
+/// worker was lost, and start elsewhere only once its lease has expired.
+const LONG_RUNNING_LEASE: Duration = Duration::from_secs(8);
 /// The longest time that a grant is in transit; a lease may count from its arrival.
 const MAX_GRANT_DELIVERY: Duration = Duration::from_millis(100);
 /// How long a worker may hold back the answer to a status poll until a run ends.
@@ -32,7 +35,14 @@
     /// still lists: one that is carried out late would acknowledge ends of a later incarnation
     /// that have the same numbers.
     pub fn next_poll(&mut self, sidecar: &SmolStr, now: Duration) -> Option<Envelope> {
-        let deadline = self.grant_lease(sidecar, now);
+        // The lease of a worker that may be lost is not extended, so that its runs can start again
+        // sooner.
+        let is_silent = self.workers.get(sidecar)?.silent_since.is_some();
+        let deadline = if is_silent {
+            None
+        } else {
+            self.grant_lease(sidecar, now)
+        };
         let frequent = self.needs_frequent_polls(sidecar);
         let worker = self.workers.get(sidecar)?;
         let is_listed = worker
@@ -64,7 +74,10 @@
     /// Records the latest time at which the lease can expire, drift of the worker's
     /// clock included.
     pub(super) fn grant_lease(&mut self, sidecar: &str, now: Duration) -> Option<u64> {
-        let lease = self.bounds.max_lease - LEASE_DELIVERY_SLACK;
+        let long_running = self
+            .iter_runs_on(sidecar)
+            .any(|(id, key, _)| self.jobs[id].step(key).long_running);
+        let lease = self.max_lease(long_running) - LEASE_DELIVERY_SLACK;
         let worker = self.workers.get_mut(sidecar)?;
         // Without recent contact no lease is granted, so that the last one is certain to expire.
         worker
@@ -77,6 +90,15 @@
         Some(clock.saturating_add((passed + lease).as_millis() as u64))
     }
 
+    /// Returns the longest lease of a worker, which depends on whether it has long-running tasks.
+    pub(super) fn max_lease(&self, long_running: bool) -> Duration {
+        if long_running {
+            self.bounds.max_lease.min(LONG_RUNNING_LEASE)
+        } else {
+            self.bounds.max_lease
+        }
+    }
+
     /// Logs that a worker did not answer a status poll.
     pub fn handle_unresponsive(&mut self, sidecar: &SmolStr, now: Duration) {
         let Some(worker) = self.workers.get_mut(sidecar) else {
--- a/crates/fleet/src/ledger/supervise.rs
+++ b/crates/fleet/src/ledger/supervise.rs
@@ -62,7 +62,8 @@
                     .and_then(|w| w.last_contact)
                     .is_none_or(|at| at < run.phase_since);
                 let last_contact = worker.and_then(|w| w.last_contact).unwrap_or_default();
-                let unresponsive = now > last_contact + self.bounds.max_lease;
+                let max_lease = self.max_lease(entry.step(*key).long_running);
+                let unresponsive = now > last_contact + max_lease;
                 if run.phase != Phase::Planned && now > lease_end && (unseen || unresponsive) {
                     expired.push((id.clone(), *key));
                 }
--- a/crates/fleet/tests/suite/departures.rs
+++ b/crates/fleet/tests/suite/departures.rs
@@ -4,6 +4,7 @@
 use crate::fixtures::job;
 use crate::fixtures::step;
 use crate::fixtures::worker;
+use hibiscusbarrow_fleet::job::Step;
 use hibiscusbarrow_fleet::record::State;
 use hibiscusbarrow_fleet::worker::End;
 use hibiscusbarrow_fleet::worker::Resources;
@@ -130,3 +131,27 @@
         batch.writes.len()
     );
 }
+
+/// The lease of a worker that no longer answered was extended for 2.6 s more, so that its tasks
+/// started elsewhere 13 s after it was lost. A long-running one has to run again after 9 s.
+#[test]
+fn the_tasks_of_a_lost_worker_start_elsewhere_once_its_lease_has_expired() {
+    for (long_running, limit) in [(true, 9_000), (false, 11_000)] {
+        let mut cluster = cluster()
+            .with_worker("n1", worker("w1", "r1"))
+            .with_worker("n2", worker("w2", "r1"));
+        let lasting = Step {
+            long_running,
+            ..step(1, 1)
+        };
+        cluster.submit(job("j", vec![lasting]));
+        cluster.advance(Duration::from_secs(15));
+        let (sidecar, _) = cluster.starts[0].clone();
+        let lost = cluster.workers.get_mut(&sidecar);
+        lost.expect("the worker exists").reachable = false;
+
+        cluster.advance(Duration::from_millis(limit));
+
+        assert_eq!(cluster.starts.len(), 2, "long_running={long_running}");
+    }
+}
