Prefer workers that list all ends

What callers could see: a task run twice, where more workers may forget ends than can be left out (TWICE).

Cause: the workers beyond that limit were used like all others, so that a task ran there although a sound worker had room.

Change: they rank last. They get only what has no room elsewhere.

Measured: the new test places two tasks on such a worker before, and on the sound one after.

--- a/crates/fleet/src/ledger/fit.rs
+++ b/crates/fleet/src/ledger/fit.rs
@@ -39,6 +39,8 @@
     /// Shared, as plans copy their slots often.
     labels: Rc<[SmolStr]>,
     pub(super) service: SmolStr,
+    /// Whether the worker may forget ends. It is used all the same, as others are left out for it.
+    may_forget: bool,
     /// Whether a run on the worker failed or stalled since the last success.
     suspect: bool,
     /// How slow the worker is, in units of `speed::BUCKET`; 0 for an average worker.
@@ -238,6 +240,7 @@
                 rack: worker.rack.clone(),
                 labels: worker.labels.clone(),
                 service: announced.service.clone(),
+                may_forget: announced.on_hold,
                 suspect: worker.health.is_suspect(),
                 slowness: worker.speed.bucket(),
                 total: worker.capacity(),
@@ -507,8 +510,8 @@
 
 /// Ranks a worker for a task; the lowest rank is the best.
 ///
-/// Prefers, in this order, workers on the rack of the task's data, with the fewest runs if the
-/// task is a suspect, without failures, that run another member of the gang, that are fast if
+/// Prefers, in this order, workers that list all ends, on the rack of the task's data, with the
+/// fewest runs if the task is a suspect, without failures, that run another member of the gang, that are fast if
 /// the task is urgent, and that have the least free capacity.
 fn rank(
     entry: &Entry,
@@ -516,7 +519,7 @@
     slot: &Slot,
     slot_index: usize,
     placed: &[(u32, usize)],
-) -> (bool, usize, bool, bool, i64, u64, u64, usize) {
+) -> (bool, bool, usize, bool, bool, i64, u64, u64, usize) {
     let step = &entry.record.job.steps[candidate.step as usize];
     let far = !step.rack.is_empty() && slot.rack != step.rack;
     let unreliable = slot.suspect || entry.avoided.contains(&slot.sidecar);
@@ -532,6 +535,7 @@
         slot.runs
     };
     (
+        slot.may_forget,
         far,
         crowd,
         unreliable,
--- a/crates/fleet/tests/suite/fixtures.rs
+++ b/crates/fleet/tests/suite/fixtures.rs
@@ -48,6 +48,8 @@
     pub capacity: Resources,
     pub rack: SmolStr,
     pub draining: bool,
+    /// Whether the worker may forget ends.
+    pub on_hold: bool,
     /// The number of the newest heartbeat.
     pub sequence: u64,
     /// The progress of each run in percent, by task and number of the start.
@@ -181,6 +183,7 @@
         },
         rack: rack.into(),
         draining: false,
+        on_hold: false,
         sequence: 1,
         running: BTreeMap::new(),
         ended: Vec::new(),
@@ -650,7 +653,7 @@
             draining: self.draining,
             leaving: false,
             remaining: None,
-            on_hold: false,
+            on_hold: self.on_hold,
         }
     }
 
--- a/crates/fleet/tests/suite/rules.rs
+++ b/crates/fleet/tests/suite/rules.rs
@@ -201,3 +201,24 @@
     assert_eq!(cluster.placements("long-running").len(), 1);
     assert_eq!(cluster.starts.len(), 2);
 }
+
+/// More workers may forget ends than can be left out, so that one of them was used like the others:
+/// a task whose end it forgets runs twice.
+#[test]
+fn workers_that_may_forget_ends_get_only_what_has_no_room_elsewhere() {
+    let mut cluster = cluster();
+    for n in 0..3 {
+        let mut fake = worker(&format!("w{n}"), "r1");
+        fake.on_hold = n < 2;
+        cluster.add_worker(&format!("n{n}"), fake);
+    }
+    cluster.submit(job("fits", vec![step(2, 4)]));
+    cluster.advance(Duration::from_millis(300));
+    cluster.submit(job("more", vec![step(1, 4)]));
+    cluster.advance(Duration::from_millis(300));
+
+    let sidecars = |id| cluster.placements(id).into_iter().map(|(_, s)| s);
+    assert_eq!(sidecars("fits").collect::<Vec<_>>(), ["n2", "n2"]);
+    assert_ne!(sidecars("more").collect::<Vec<_>>(), ["n2"]);
+    assert_eq!(cluster.placements("more").len(), 1);
+}
