Limit the open stops at a worker, and repeat none that waits

What callers saw: orders to a worker took seconds after a job with hundreds of tasks there was cancelled.

Cause: all stops were sent at once, and again each 0.4 s until the run had ended, although an order waits up to 2.4 s for its answer.

Change: stops have a window like starts, and one that has no answer is not sent again. Orders without an answer narrow a window to 1, as 8 starts and 8 stops each 2.4 s kept a worker busy that takes 200 ms for each (worked out); late answers leave 8.

The suite of the fleet passes (109 tests).

--- a/crates/coordination/src/call_window.rs
+++ b/crates/coordination/src/call_window.rs
@@ -24,6 +24,8 @@
     limit: usize,
     range: RangeInclusive<usize>,
     target: Duration,
+    /// Late answers leave at least this limit.
+    late_least: usize,
 }
 
 impl CallWindow {
@@ -32,11 +34,19 @@
     pub fn new(first: usize, range: RangeInclusive<usize>, target: Duration) -> Self {
         Self {
             limit: first.clamp(*range.start(), *range.end()),
+            late_least: *range.start(),
             range,
             target,
         }
     }
 
+    /// Sets the limit that late answers leave at least. A network that delays all answers then
+    /// allows for as many calls; failures go on to the start of the range.
+    pub fn with_late_least(mut self, least: usize) -> Self {
+        self.late_least = least;
+        self
+    }
+
     /// Returns how many calls may be open at the same time.
     pub fn limit(&self) -> usize {
         self.limit
@@ -44,10 +54,10 @@
 
     /// Adapts the limit to an answer that took `time`.
     pub fn record_answer(&mut self, time: Duration) {
-        if time > self.target {
-            self.record_failure();
-        } else {
+        if time <= self.target {
             self.limit = (self.limit + 1).min(*self.range.end());
+        } else if self.limit > self.late_least {
+            self.limit = (self.limit / 2).max(self.late_least);
         }
     }
 
--- a/crates/fleet/src/ledger/ends.rs
+++ b/crates/fleet/src/ledger/ends.rs
@@ -1,31 +1,15 @@
 //! The ends of runs: listed by a worker, lost, or ordered by a stop.
 
 use super::Decision;
-use super::Effect;
 use super::Ledger;
 use super::Phase;
-use super::Run;
 use super::TaskKey;
-use super::task_id;
 use crate::record::Crashes;
 use crate::worker::End;
 use crate::worker::Ended;
-use crate::worker::Order;
 use smol_str::SmolStr;
 use std::time::Duration;
 
-/// Returns the order that stops a run, or blocks its start if that has not arrived yet.
-pub(super) fn stop_effect(id: &SmolStr, key: TaskKey, run: &Run) -> Effect {
-    Effect::Send {
-        sidecar: run.sidecar.clone(),
-        boot: run.boot.clone(),
-        order: Order::Stop {
-            task: task_id(id, key),
-            run: run.number,
-        },
-    }
-}
-
 impl Ledger {
     /// Applies an end that a worker lists to the record of the job.
     ///
@@ -211,13 +195,12 @@
             _ => {}
         }
         run.set_phase(Phase::Stopping, now);
-        run.stop_sent = Some(now);
+        run.stop_sent = None;
         let detail = format!(
             "task={key:?} run={} worker={}: {reason}",
             run.number, run.sidecar
         );
-        let effect = stop_effect(id, key, run);
-        self.effects.push(effect);
         self.note(Decision::Stopped, id, &account, detail);
+        self.send_stop(id, key, now);
     }
 }
--- a/crates/fleet/src/ledger/listing.rs
+++ b/crates/fleet/src/ledger/listing.rs
@@ -1,16 +1,14 @@
 //! Handling of listings: what workers run and which runs ended.
 
 use super::Decision;
-use super::Effect;
 use super::Ledger;
 use super::Phase;
 use super::TaskKey;
-use super::ends::stop_effect;
+use super::stops::RETRY_DELAY;
 use crate::worker::Announcement;
 use crate::worker::Boot;
 use crate::worker::Ended;
 use crate::worker::Listing;
-use crate::worker::Order;
 use crate::worker::Running;
 use smol_str::SmolStr;
 use std::collections::HashSet;
@@ -18,8 +16,6 @@
 
 /// The first character of a rack label; digits follow.
 const RACK_PREFIX: char = 'r';
-/// The time between two stop orders for the same run.
-const STOP_RETRY_DELAY: Duration = Duration::from_millis(400);
 
 impl Ledger {
     /// Handles a listing that answers a status poll sent at `sent`.
@@ -108,6 +104,7 @@
         worker.first_listed = None;
         worker.uncommitted_ends.clear();
         worker.orphan_stops.clear();
+        worker.open_stops.clear();
         worker.health = super::health::Health::default();
         let detail = format!("boot={} born={} before={before:?}", boot.id, boot.born);
         self.note(Decision::WorkerSeen, sidecar, "", detail);
@@ -256,28 +253,23 @@
 
     /// Stops a run that no record names.
     fn stop_orphan(&mut self, sidecar: &SmolStr, boot: &Boot, reported: &Running, now: Duration) {
-        let Some(worker) = self.workers.get_mut(sidecar) else {
+        let Some(worker) = self.workers.get(sidecar) else {
             return;
         };
         let orphan = (reported.task.clone(), reported.run);
         let last = worker.orphan_stops.get(&orphan);
-        if last.is_some_and(|at| now < *at + STOP_RETRY_DELAY) {
+        if last.is_some_and(|at| now < *at + RETRY_DELAY) {
+            return;
+        }
+        let (task, run) = orphan.clone();
+        if !self.order_stop(sidecar, boot.clone(), task, run, now) {
             return;
         }
-        worker.orphan_stops.insert(orphan, now);
-        let detail = format!(
-            "worker={sidecar} run={} no record of this run",
-            reported.run
-        );
+        if let Some(worker) = self.workers.get_mut(sidecar) {
+            worker.orphan_stops.insert(orphan, now);
+        }
+        let detail = format!("worker={sidecar} run={run} no record of this run");
         self.note(Decision::Stopped, &reported.task.job, "", detail);
-        self.effects.push(Effect::Send {
-            sidecar: sidecar.clone(),
-            boot: boot.clone(),
-            order: Order::Stop {
-                task: reported.task.clone(),
-                run: reported.run,
-            },
-        });
     }
 
     /// Handles runs that a complete listing does not show.
@@ -294,7 +286,7 @@
         for (id, key, phase) in self.runs_on(sidecar, |_| true) {
             if listed.contains(&(id.clone(), key)) {
                 if matches!(phase, Phase::Stopping) {
-                    self.repeat_stop(&id, key, now);
+                    self.send_stop(&id, key, now);
                 }
                 continue;
             }
@@ -308,25 +300,11 @@
                 Phase::Unconfirmed | Phase::Stopping if stop_confirmed => {
                     self.mark_lost(&id, key, "stopped before it started", now);
                 }
-                Phase::Unconfirmed | Phase::Stopping => self.repeat_stop(&id, key, now),
+                Phase::Unconfirmed | Phase::Stopping => self.send_stop(&id, key, now),
                 _ => {}
             }
         }
     }
-
-    /// Sends a stop order again if the last one is at least `STOP_RETRY_DELAY` old.
-    pub(super) fn repeat_stop(&mut self, id: &SmolStr, key: TaskKey, now: Duration) {
-        let run = self.jobs.get_mut(id).and_then(|e| e.runs.get_mut(&key));
-        let Some(run) = run else {
-            return;
-        };
-        if run.stop_sent.is_some_and(|at| now < at + STOP_RETRY_DELAY) {
-            return;
-        }
-        run.stop_sent = Some(now);
-        let effect = stop_effect(id, key, run);
-        self.effects.push(effect);
-    }
 }
 
 /// Returns the label that names a rack.
--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -24,6 +24,7 @@
 mod room;
 mod run_index;
 mod speed;
+mod stops;
 mod supervise;
 mod writes;
 
@@ -88,12 +89,13 @@
 /// Time for the last order of the previous placer to reach its worker.
 const ORDER_DELIVERY_SLACK: Duration = Duration::from_millis(500);
 
-/// The most starts that are open at a worker at first, and the least and the most later.
-const FIRST_STARTS: usize = 128;
-const MIN_STARTS: usize = 8;
-const MAX_STARTS: usize = 512;
-/// The time within which a worker that is not overloaded answers a start.
-const START_TARGET: Duration = Duration::from_millis(250);
+/// The most starts that are open at a worker at first and later, and the least that late answers
+/// leave; the same for stops.
+const FIRST_ORDERS: usize = 128;
+const MAX_ORDERS: usize = 512;
+const LATE_ORDERS: usize = 8;
+/// The time within which a worker that is not overloaded answers an order.
+const ORDER_TARGET: Duration = Duration::from_millis(250);
 
 /// The phases of a run, from its plan to its end.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -231,6 +233,10 @@
     departed: Option<(SmolStr, Duration)>,
     /// Limits the starts that the worker has not answered.
     starts: CallWindow,
+    /// The stops that the worker has not answered, by task and run, and when they were sent.
+    open_stops: HashMap<(TaskId, u64), Duration>,
+    /// Limits these.
+    stops: CallWindow,
 }
 
 /// An action for the caller of the ledger to carry out.
@@ -680,7 +686,9 @@
             health: health::Health::default(),
             speed: speed::Speed::default(),
             departed: None,
-            starts: CallWindow::new(FIRST_STARTS, MIN_STARTS..=MAX_STARTS, START_TARGET),
+            starts: order_window(),
+            open_stops: HashMap::new(),
+            stops: order_window(),
         }
     }
 
@@ -692,6 +700,11 @@
     }
 }
 
+/// Returns the limit of the orders of one kind that are open at a worker.
+fn order_window() -> CallWindow {
+    CallWindow::new(FIRST_ORDERS, 1..=MAX_ORDERS, ORDER_TARGET).with_late_least(LATE_ORDERS)
+}
+
 /// Returns the longest real time that a span measured by a worker's clock can take.
 fn with_clock_drift(span: Duration) -> Duration {
     span * 100 / (100 - CLOCK_DRIFT_PERCENT)
--- a/crates/fleet/src/ledger/orders.rs
+++ b/crates/fleet/src/ledger/orders.rs
@@ -160,6 +160,7 @@
                 }
             }
             Order::Stop { task, run } => {
+                self.settle_stop(sidecar, task, *run, answer, now);
                 let key = (task.occurrence, task.step, task.index);
                 let same_boot =
                     self.workers.get(sidecar).and_then(|w| w.boot.as_ref()) == Some(boot);
