--- a/crates/coordination/tests/suite/main.rs
+++ b/crates/coordination/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the coordination state machines, many of them under random faults and delays.
 
 mod admission;
+mod call_window;
 mod duty_cycle;
 mod fixtures;
 mod gang;
--- a/crates/fleet/src/ledger/fit.rs
+++ b/crates/fleet/src/ledger/fit.rs
@@ -403,8 +403,8 @@
         placed
     }
 
-    /// Returns whether tasks of a candidate would fit if their workers had answered more of the
-    /// starts that are open.
+    /// Returns whether tasks of a candidate would fit if workers had answered the starts that are
+    /// open there.
     pub(super) fn awaits_answers(
         &self,
         candidate: &Candidate,
@@ -466,8 +466,8 @@
         && (step.label.is_empty() || slot.labels.contains(&step.label))
 }
 
-/// Returns whether a worker may run a step at all, whatever its free capacity, as far as its
-/// approval has at least the state `least`.
+/// Returns whether a worker may run a step, whatever its free capacity, with an approval of at
+/// least the given state.
 pub(super) fn is_eligible(
     entry: &Entry,
     candidate: &Candidate,
@@ -511,8 +511,8 @@
 /// Ranks a worker for a task; the lowest rank is the best.
 ///
 /// Prefers, in this order, workers that list all ends, on the rack of the task's data, with the
-/// fewest runs if the task is a suspect, without failures, that run another member of the gang, that are fast if
-/// the task is urgent, and that have the least free capacity.
+/// fewest runs if the task is a suspect, without failures, that run another member of the gang,
+/// that are fast if the task is urgent, and that have the least free capacity.
 fn rank(
     entry: &Entry,
     candidate: &Candidate,
--- a/crates/fleet/src/ledger/listing.rs
+++ b/crates/fleet/src/ledger/listing.rs
@@ -4,7 +4,7 @@
 use super::Ledger;
 use super::Phase;
 use super::TaskKey;
-use super::stops::RETRY_DELAY;
+use super::stops::STOP_RETRY_DELAY;
 use crate::worker::Announcement;
 use crate::worker::Boot;
 use crate::worker::Ended;
@@ -258,7 +258,7 @@
         };
         let orphan = (reported.task.clone(), reported.run);
         let last = worker.orphan_stops.get(&orphan);
-        if last.is_some_and(|at| now < *at + RETRY_DELAY) {
+        if last.is_some_and(|at| now < *at + STOP_RETRY_DELAY) {
             return;
         }
         let (task, run) = orphan.clone();
--- a/crates/fleet/src/ledger/stops.rs
+++ b/crates/fleet/src/ledger/stops.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 /// The time between two stops of the same run.
-pub(super) const RETRY_DELAY: Duration = Duration::from_millis(400);
+pub(super) const STOP_RETRY_DELAY: Duration = Duration::from_millis(400);
 
 impl Ledger {
     /// Orders the stop of a run, which blocks its start if that has not arrived yet.
@@ -24,7 +24,7 @@
         let Some(run) = run else {
             return;
         };
-        if run.stop_sent.is_some_and(|at| now < at + RETRY_DELAY) {
+        if run.stop_sent.is_some_and(|at| now < at + STOP_RETRY_DELAY) {
             return;
         }
         let (sidecar, boot, number) = (run.sidecar.clone(), run.boot.clone(), run.number);
