--- a/crates/fleet/src/ledger/fit.rs
+++ b/crates/fleet/src/ledger/fit.rs
@@ -39,8 +39,8 @@
     /// Shared, as plans copy their slots often.
     labels: Rc<[SmolStr]>,
     pub(super) service: SmolStr,
-    /// Whether the worker may forget ends. It is used all the same, as others are left out for it.
-    may_forget: bool,
+    /// Whether the worker may forget ends, and is used all the same as too many others are left out.
+    on_hold: bool,
     /// Whether a run on the worker failed or stalled since the last success.
     suspect: bool,
     /// How slow the worker is, in units of `speed::BUCKET`; 0 for an average worker.
@@ -240,7 +240,7 @@
                 rack: worker.rack.clone(),
                 labels: worker.labels.clone(),
                 service: announced.service.clone(),
-                may_forget: announced.on_hold,
+                on_hold: announced.on_hold,
                 suspect: worker.health.is_suspect(),
                 slowness: worker.speed.bucket(),
                 total: worker.capacity(),
@@ -535,7 +535,7 @@
         slot.runs
     };
     (
-        slot.may_forget,
+        slot.on_hold,
         far,
         crowd,
         unreliable,
--- a/crates/fleet/src/ledger/policy.rs
+++ b/crates/fleet/src/ledger/policy.rs
@@ -327,8 +327,8 @@
             return Vec::new();
         }
         ranked.sort_by_key(|(rank, _)| *rank);
-        let wanted = candidate.indices.len().saturating_mul(2);
-        ranked.truncate(wanted.clamp(MAX_WORKERS_PER_TASK, MAX_WORKERS));
+        let two_per_task = candidate.indices.len().saturating_mul(2);
+        ranked.truncate(two_per_task.clamp(MAX_WORKERS_PER_TASK, MAX_WORKERS));
         ranked.into_iter().map(|(_, boot)| boot).collect()
     }
 
--- a/crates/fleet/tests/suite/fixtures.rs
+++ b/crates/fleet/tests/suite/fixtures.rs
@@ -74,7 +74,7 @@
     pub loses_orders: bool,
     /// Whether orders are refused and not carried out, as the worker is unhealthy.
     pub refuses_orders: bool,
-    /// The runs that the worker was told to stop.
+    /// The runs that were to be stopped. The sidecar refuses their starts, also for a later incarnation.
     pub stopped: BTreeSet<(TaskId, u64)>,
     /// How long the worker takes for a start or stop, one after the other.
     pub order_time: Duration,
--- a/crates/fleet/tests/suite/policies.rs
+++ b/crates/fleet/tests/suite/policies.rs
@@ -13,9 +13,19 @@
 use smol_str::format_smolstr;
 use std::time::Duration;
 
-/// Submits a job of one task each 0.55 s, and each 0.15 s for 4 s after the first 10 s, to
-/// eight workers; returns the jobs that are open 14 s after the last one, and the number of jobs.
-fn open_after_burst(stated: Policy, service: PolicyService) -> (Vec<i32>, i32) {
+/// The time between two jobs in the burst of the review, 2.7 times as many as before it.
+const REVIEW_BURST: Duration = Duration::from_nanos(550_000_000 * 10 / 27);
+/// The same in a larger burst. The cluster advances in steps of 50 ms, which make that of the
+/// review smaller.
+const LARGER_BURST: Duration = Duration::from_millis(150);
+
+/// Submits a job of one task each 0.55 s, and more often for 4 s after the first 10 s, to eight
+/// workers; returns the jobs that are open 14 s after the last one, and the number of jobs.
+fn open_after_burst(
+    stated: Policy,
+    service: PolicyService,
+    burst_interval: Duration,
+) -> (Vec<i32>, i32) {
     let mut cluster = cluster();
     for n in 0..8 {
         cluster.add_worker(&format!("n{n}"), worker(&format!("w{n}"), "r1"));
@@ -23,11 +33,7 @@
     cluster.run_time = Some(Duration::from_secs(1));
     cluster.policy = Some(service);
     let interval = Duration::from_millis(550);
-    let phases = [
-        (10, interval),
-        (4, Duration::from_millis(150)),
-        (20, interval),
-    ];
+    let phases = [(10, interval), (4, burst_interval), (20, interval)];
     let mut jobs = 0;
     for (seconds, interval) in phases {
         let end = cluster.now + Duration::from_secs(seconds);
@@ -43,6 +49,10 @@
 
     cluster.advance(Duration::from_secs(14));
 
+    assert_eq!(
+        cluster.stale_tokens, 0,
+        "starts were refused for their tokens"
+    );
     let is_open = |n: &i32| cluster.state(&format!("job{n}")) != State::Completed;
     ((0..jobs).filter(is_open).collect(), jobs)
 }
@@ -59,9 +69,13 @@
 /// each answer came when its request had been given up, and the jobs never started.
 #[test]
 fn jobs_under_a_policy_start_after_a_burst() {
-    let (open, jobs) = open_after_burst(policy(300, 10), PolicyService::new(300, 10));
+    for interval in [REVIEW_BURST, LARGER_BURST] {
+        let service = PolicyService::new(300, 10);
 
-    assert!(open.is_empty(), "of {jobs} jobs: {open:?}");
+        let (open, jobs) = open_after_burst(policy(300, 10), service, interval);
+
+        assert!(open.is_empty(), "of {jobs} jobs: {open:?}");
+    }
 }
 
 /// The number of open requests followed the stated times alone, so that a service slower than
@@ -72,7 +86,7 @@
         let mut service = PolicyService::new(300, 10);
         service.skips_given_up = skips_given_up;
 
-        let (open, jobs) = open_after_burst(policy(10, 1), service);
+        let (open, jobs) = open_after_burst(policy(10, 1), service, LARGER_BURST);
 
         assert!(
             open.is_empty(),
