Handle termination signals through a socket

Cause: the signal handler of the asynchronous runtime wakes a task, which asks for the current thread; in a thread that is starting, the standard library then finds the handle set and aborts. After SIGSTOP, SIGTERM, SIGCONT any thread may receive the signal. Ruled out: the handler for SIGHUP, which sets a flag only.

Change: the handlers write a byte to a socket that the process reads.

--- a/crates/adapters/src/signal.rs
+++ b/crates/adapters/src/signal.rs
@@ -1,9 +1,14 @@
 //! A one-shot flag for asynchronous tasks, and the signals that a process handles.
 
+use compio::io::AsyncRead;
+use compio::net::UnixStream;
 use futures_channel::oneshot;
 use futures_util::FutureExt;
 use futures_util::future::Shared;
+use signal_hook::SigId;
 use std::cell::RefCell;
+use std::io;
+use std::os::unix::net;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -65,8 +70,48 @@
 }
 
 /// Waits until the process receives [`SIGTERM`] or [`SIGINT`].
+///
+/// The signal handler only writes a byte to a socket. A handler that wakes a task asks for the
+/// current thread, and the process is aborted if the signal interrupts a thread that is starting.
 pub async fn termination() {
-    let term = Box::pin(compio::signal::unix::signal(SIGTERM));
-    let int = Box::pin(compio::signal::unix::signal(SIGINT));
-    futures_util::future::select(term, int).await;
+    match TerminationPipe::open() {
+        Ok(pipe) => pipe.wait().await,
+        Err(e) => {
+            eprintln!("hibiscusbarrow: cannot handle termination signals: {e}");
+            std::future::pending().await
+        }
+    }
+}
+
+/// A socket to which the handlers of termination signals write.
+struct TerminationPipe {
+    reader: UnixStream,
+    handlers: Vec<SigId>,
+}
+
+impl TerminationPipe {
+    fn open() -> io::Result<Self> {
+        let (reader, writer) = net::UnixStream::pair()?;
+        let mut pipe = Self {
+            reader: UnixStream::from_std(reader)?,
+            handlers: Vec::new(),
+        };
+        for signal in [SIGTERM, SIGINT] {
+            let handler = signal_hook::low_level::pipe::register(signal, writer.try_clone()?)?;
+            pipe.handlers.push(handler);
+        }
+        Ok(pipe)
+    }
+
+    async fn wait(mut self) {
+        let _ = self.reader.read(Vec::with_capacity(1)).await;
+    }
+}
+
+impl Drop for TerminationPipe {
+    fn drop(&mut self) {
+        for handler in &self.handlers {
+            signal_hook::low_level::unregister(*handler);
+        }
+    }
 }
