Keep work away from evacuated failure domains in the fleet

The placer follows the operators' requests through a feed of its own and neither plans nor sends a start while its knowledge is older than the bound less the time an order can be in transit. A start names the latest time at which the sidecar may pass it on, so that an order that is delayed on a link is refused. Without the bound in the settings nothing changes: the same calls, the same decisions.

--- a/crates/fleet/src/ledger/crash.rs
+++ b/crates/fleet/src/ledger/crash.rs
@@ -413,7 +413,9 @@
         }
         let of_service = self.workers.values().filter(|w| {
             let announced = w.announced.as_ref();
-            announced.is_some_and(|a| a.service == *service) && w.departed.is_none()
+            announced.is_some_and(|a| a.service == *service)
+                && w.departed.is_none()
+                && !self.is_evacuated(w)
         });
         let is_down = |w: &&super::Worker| {
             w.silent_since
--- a/crates/fleet/src/ledger/fit.rs
+++ b/crates/fleet/src/ledger/fit.rs
@@ -212,6 +212,9 @@
     /// Returns the capacity of every worker that may be assigned work.
     pub(super) fn slots(&self, now: Duration) -> Vec<Slot> {
         let mut slots = Vec::new();
+        if !self.knows_evacuations(now) {
+            return slots;
+        }
         // A worker without others beside it has to do the work although it may forget ends.
         let max_held = |size: usize| (size * MAX_HELD_PERCENT / 100).max(usize::from(size > 1));
         let held = self.worst_workers(max_held, |w| {
@@ -227,6 +230,7 @@
                 .last_contact
                 .is_some_and(|at| now < at + CONTACT_TIMEOUT);
             if announced.is_ending()
+                || self.is_evacuated(worker)
                 || held.contains(sidecar.as_str())
                 || quarantined.contains(sidecar.as_str())
                 || !in_contact
@@ -293,18 +297,21 @@
         limit: impl Fn(usize) -> usize,
         rank: impl Fn(&super::Worker) -> Option<u32>,
     ) -> HashSet<&str> {
-        let announced = |worker: &super::Worker| worker.announced.clone();
         let mut sizes: HashMap<SmolStr, usize> = HashMap::new();
-        for announced in self.workers.values().filter_map(announced) {
-            *sizes.entry(announced.service).or_default() += 1;
-        }
         // A new placer has yet to hear from most workers; they may be of any service.
-        let unheard = self.workers.len() - sizes.values().sum::<usize>();
+        let mut unheard = 0;
+        for worker in self.workers.values().filter(|w| !self.is_evacuated(w)) {
+            match &worker.announced {
+                Some(announced) => *sizes.entry(announced.service.clone()).or_default() += 1,
+                None => unheard += 1,
+            }
+        }
         let mut places: HashMap<SmolStr, usize> = sizes
             .into_iter()
             .map(|(service, size)| (service, limit(size + unheard)))
             .collect();
         let workers = self.workers.iter();
+        let workers = workers.filter(|(_, w)| !self.is_evacuated(w));
         let mut ranked: Vec<_> = workers
             .filter_map(|(sidecar, w)| {
                 let announced = w.announced.as_ref()?;
--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -13,6 +13,7 @@
 
 mod crash;
 mod ends;
+mod evacuation;
 mod fit;
 mod health;
 mod listing;
@@ -70,6 +71,9 @@
     pub status_retention: Duration,
     /// The largest record that the store takes, in bytes.
     pub max_record: usize,
+    /// The time after an operator's request to evacuate a failure domain from which nothing may
+    /// start there; none if operators cannot request it.
+    pub evacuation: Option<Duration>,
 }
 
 impl Default for Bounds {
@@ -80,6 +84,7 @@
             gang_timeout: Duration::from_secs(3),
             status_retention: Duration::from_secs(120),
             max_record: 1 << 20,
+            evacuation: None,
         }
     }
 }
@@ -290,6 +295,18 @@
     Quarantined,
     /// A run was ordered to work at another share of its full speed.
     Paced,
+    /// Nothing starts any more in a failure domain, on an operator's request.
+    EvacuationBegan,
+    /// The request to evacuate a failure domain was cancelled.
+    EvacuationEnded,
+    /// All known failure domains are evacuated, so that nothing starts.
+    AllEvacuated,
+    /// The domains that are not evacuated lack capacity for all guarantees, or have it again.
+    GuaranteeShort,
+    /// Nothing starts, as the evacuated domains are not known well enough.
+    StartsPaused,
+    /// The evacuated domains are known well enough again.
+    StartsResumed,
 }
 
 /// The log entry of a decision.
@@ -349,6 +366,7 @@
     planned_at: Duration,
     /// Since when workers of each service were last reserved while it was mostly idle.
     reserving_since: HashMap<SmolStr, Duration>,
+    evacuation: evacuation::Evacuation,
 }
 
 impl Ledger {
@@ -370,6 +388,7 @@
             requests: policy::Requests::default(),
             planned_at: now,
             reserving_since: HashMap::new(),
+            evacuation: evacuation::Evacuation::default(),
         }
     }
 
--- a/crates/fleet/src/ledger/plan.rs
+++ b/crates/fleet/src/ledger/plan.rs
@@ -68,6 +68,7 @@
         self.stop_stalled(now);
         self.save_checkpoints(now);
         self.planned_at = now;
+        self.report_evacuation(now);
         let classes = self.classes();
         let mut slots = self.slots(now);
         let names = self.longest_names();
@@ -396,6 +397,7 @@
             return;
         };
         let (sidecar, boot, number) = (run.sidecar.clone(), run.boot.clone(), run.number);
+        let latest = self.latest_start(&sidecar, now);
         let deadline = self.grant_lease(&sidecar, now);
         let approval = self.approval(id, key.0, key.1, &boot);
         let (Some(deadline), Some(approval)) = (deadline, approval) else {
@@ -414,6 +416,7 @@
             deadline,
             checkpoint,
             approval,
+            latest,
         };
         let order = Order::Start(Box::new(start));
         self.effects.push(super::Effect::Send {
--- a/crates/fleet/src/ledger/writes.rs
+++ b/crates/fleet/src/ledger/writes.rs
@@ -219,6 +219,7 @@
             }
         }
         // A gang is withdrawn before any of its members is sent.
+        self.withdraw_evacuated(&due, now);
         self.withdraw_overfull(&due, now);
         for (id, key) in due {
             let run = self.jobs.get(&id).and_then(|e| e.runs.get(&key));
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,5 +24,6 @@
 pub mod occurrences;
 pub mod record;
 pub mod record_size;
+pub mod start_limit;
 pub mod stray_calls;
 pub mod worker;
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -69,6 +69,9 @@
     pub sequence: u64,
     /// The service that the worker belongs to.
     pub service: SmolStr,
+    /// The failure domain; empty if it is not known. Set by the sidecar if the heartbeat has none.
+    #[serde(default, skip_serializing_if = "SmolStr::is_empty")]
+    pub domain: SmolStr,
     /// The total resources of the worker.
     #[serde(rename = "room")]
     pub capacity: Resources,
@@ -178,6 +181,10 @@
     /// The approval token of the policy; empty for none.
     #[serde(rename = "ticket")]
     pub approval: SmolStr,
+    /// The latest time at which the sidecar may pass the order on, by the worker's clock, in
+    /// milliseconds; none if there is no limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub latest: Option<u64>,
 }
 
 /// An order of the placer to a worker.
--- a/crates/fleet/tests/suite/fixtures.rs
+++ b/crates/fleet/tests/suite/fixtures.rs
@@ -6,6 +6,7 @@
 use hibiscusbarrow_fleet::ledger::Bounds;
 use hibiscusbarrow_fleet::ledger::Effect;
 use hibiscusbarrow_fleet::ledger::Ledger;
+use hibiscusbarrow_fleet::ledger::Note;
 use hibiscusbarrow_fleet::ledger::Write;
 use hibiscusbarrow_fleet::manifest::Account;
 use hibiscusbarrow_fleet::manifest::Manifest;
@@ -47,6 +48,8 @@
     pub boot: Boot,
     pub capacity: Resources,
     pub rack: SmolStr,
+    /// The failure domain.
+    pub domain: SmolStr,
     pub draining: bool,
     /// Whether the worker may forget ends.
     pub on_hold: bool,
@@ -120,6 +123,12 @@
     pub overfull: Vec<(SmolStr, TaskId)>,
     /// The orders that workers have received and not carried out, or not answered.
     slow_orders: Vec<SlowOrder>,
+    /// The failure domains whose evacuation is requested in the store.
+    pub evacuated: BTreeSet<SmolStr>,
+    /// Whether the placer's reading of these is cut off.
+    pub is_cut_off: bool,
+    /// Every decision that the placer logged.
+    pub notes: Vec<Note>,
     /// When each run started.
     started: BTreeMap<(TaskId, u64), Duration>,
 }
@@ -165,6 +174,9 @@
         stale_tokens: 0,
         overfull: Vec::new(),
         slow_orders: Vec::new(),
+        evacuated: BTreeSet::new(),
+        is_cut_off: false,
+        notes: Vec::new(),
         started: BTreeMap::new(),
     }
 }
@@ -182,6 +194,7 @@
             gpus: 8,
         },
         rack: rack.into(),
+        domain: "a".into(),
         draining: false,
         on_hold: false,
         sequence: 1,
@@ -240,6 +253,13 @@
         self
     }
 
+    /// Sets the bound of evacuations, before workers are added.
+    pub fn with_evacuations(mut self, bound: Duration) -> Self {
+        self.bounds.evacuation = Some(bound);
+        self.ledger = Ledger::new(self.bounds, self.epoch, self.now);
+        self
+    }
+
     /// Adds a worker and returns the cluster.
     pub fn with_worker(mut self, sidecar: &str, worker: FakeWorker) -> Self {
         self.add_worker(sidecar, worker);
@@ -301,6 +321,7 @@
         self.begin_tick();
         self.answer_requests();
         self.answer_slow_orders();
+        self.read_evacuations();
         self.poll_all();
         self.plan();
     }
@@ -546,9 +567,21 @@
         needs_token && !policy.accepts(&start.approval, &boot.id, self.now)
     }
 
+    /// Tells the placer which failure domains are evacuated, unless its reading is cut off.
+    pub fn read_evacuations(&mut self) {
+        if !self.is_cut_off {
+            let domains = Rc::new(self.evacuated.clone());
+            self.ledger.set_evacuated(domains, self.now);
+        }
+    }
+
     /// Delivers the pending orders to the workers, and their answers to the ledger.
     pub fn deliver_orders(&mut self) {
-        for effect in self.ledger.take_effects() {
+        let effects = self.ledger.take_effects();
+        for effect in self.ledger.recheck_starts(effects, self.now) {
+            if let Effect::Note(note) = &effect {
+                self.notes.push(note.clone());
+            }
             if let (Effect::RequestApproval(request), Some(policy)) = (&effect, &mut self.policy) {
                 policy.receive(request.clone(), self.now);
             }
@@ -666,6 +699,7 @@
             boot: self.boot.clone(),
             sequence: self.sequence,
             service: "service".into(),
+            domain: self.domain.clone(),
             capacity: self.capacity,
             labels: vec!["a".into(), self.rack.clone()],
             draining: self.draining,
--- a/crates/fleet/tests/suite/model.rs
+++ b/crates/fleet/tests/suite/model.rs
@@ -870,6 +870,7 @@
             boot: worker.boot.clone(),
             sequence: 1,
             service: "service".into(),
+            domain: SmolStr::default(),
             capacity: Resources {
                 cpu: 8_000,
                 memory: 8_000,
--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -84,6 +84,13 @@
     StrayBlocked = 1708, "A start for a former life of a worker, which got no answer, was blocked in the present one.";
     WorkerHeld = 1709, "A worker may forget ends that nobody has seen; it is left out until it starts again, if enough others remain.";
     EndsKept = 1710, "A sidecar answers a poll with the last ends of a worker that drained and no longer answers.";
+    EvacuationBegan = 1711, "A failure domain is evacuated: the placer starts nothing there.";
+    EvacuationEnded = 1712, "The evacuation of a failure domain was cancelled.";
+    EvacuationUnreadable = 1713, "A request to evacuate names no failure domain; it is ignored.";
+    AllEvacuated = 1714, "All known failure domains are evacuated; nothing starts.";
+    GuaranteeShort = 1715, "The failure domains that are not evacuated lack capacity for all guarantees, or have it again.";
+    StartsPaused = 1716, "The placer starts nothing, as its knowledge of evacuations is missing or too old.";
+    StartsResumed = 1717, "The placer knows the evacuations again and starts work.";
     StoreDown = 1801, "The key-value service stopped answering.";
     StoreBack = 1802, "The key-value service answers again.";
     MirrorReset = 1803, "The store no longer has the history needed; its content is read again.";
--- a/crates/roles/src/fleet/cache/follow.rs
+++ b/crates/roles/src/fleet/cache/follow.rs
@@ -16,6 +16,15 @@
 
 /// How long a watch waits for a change.
 const WATCH_WAIT: Duration = Duration::from_millis(1_200);
+/// The same for the watch of evacuated failure domains. A connection that has fallen silent is
+/// noticed 700 ms later, well before the knowledge is too old for starts (2,100 ms with a bound of
+/// 5 s).
+const EVACUATION_WATCH_WAIT: Duration = Duration::from_millis(400);
+/// The largest share of the bound of evacuations that such a watch waits, as a divisor.
+const MAX_WATCH_DIVISOR: u32 = 12;
+/// The delay before the evacuated domains are listed again because the store has dropped its
+/// history. Only the placer and its standbys list them, and they are few.
+const EVACUATION_RESYNC_DELAY: Duration = Duration::from_millis(40);
 /// The pause between two watches of everything, which collects the changes of that time in one
 /// answer. Gateways notify the placer of new jobs without the watch.
 const WATCH_PAUSE: Duration = Duration::from_millis(20);
@@ -46,16 +55,38 @@
     pub(super) synced: Cell<bool>,
     /// When the last successful call that updates the cache was sent.
     confirmed_at: Cell<Option<Duration>>,
+    /// How long a watch waits for a change.
+    wait: Duration,
+    /// The mean delay before the keys are listed again after a loss of history.
+    resync_delay: Duration,
 }
 
 impl Feed {
     pub(super) fn new(prefix: impl Into<SmolStr>) -> Rc<Self> {
-        Rc::new(Self {
-            prefix: prefix.into(),
+        Rc::new(Self::with_times(prefix.into(), WATCH_WAIT, RESYNC_DELAY))
+    }
+
+    /// Creates the feed of the evacuated failure domains, which must be known within a bound.
+    pub(super) fn of_evacuations(prefix: SmolStr, bound: Duration) -> Rc<Self> {
+        let wait = EVACUATION_WATCH_WAIT.min(bound / MAX_WATCH_DIVISOR);
+        Rc::new(Self::with_times(prefix, wait, EVACUATION_RESYNC_DELAY))
+    }
+
+    fn with_times(prefix: SmolStr, wait: Duration, resync_delay: Duration) -> Self {
+        Self {
+            prefix,
             revision: Cell::new(0),
             synced: Cell::new(false),
             confirmed_at: Cell::new(None),
-        })
+            wait,
+            resync_delay,
+        }
+    }
+
+    /// Returns when the newest successful call was sent; none unless the keys were listed
+    /// completely.
+    pub(super) fn confirmed_at(&self) -> Option<Duration> {
+        self.confirmed_at.get()
     }
 
     pub(super) fn is_fresh(&self, now: Duration) -> bool {
@@ -124,6 +155,10 @@
         })
         .detach();
     }
+    if let Some(feed) = cache.evacuations.clone() {
+        let (shared, cache) = (shared.clone(), cache.clone());
+        compio::runtime::spawn(follow_evacuations(shared, cache, feed)).detach();
+    }
     let feed = cache.everything.clone();
     loop {
         if cache.follows_records() {
@@ -135,6 +170,19 @@
     }
 }
 
+/// Keeps the evacuated failure domains current while this gateway is the placer or a standby.
+async fn follow_evacuations(shared: Rc<Shared>, cache: Rc<StoreCache>, feed: Rc<Feed>) {
+    loop {
+        if cache.follows_records() {
+            advance(&shared, &cache, &feed).await;
+        } else {
+            feed.synced.set(false);
+            feed.confirmed_at.set(None);
+            sleep(IDLE_INTERVAL).await;
+        }
+    }
+}
+
 /// Makes one call that brings a feed up to date.
 async fn advance(shared: &Rc<Shared>, cache: &Rc<StoreCache>, feed: &Feed) {
     let sent = shared.clock.now();
@@ -153,7 +201,7 @@
             );
             shared.log.emit(Event::MirrorReset, "store", detail);
             feed.synced.set(false);
-            sleep(RESYNC_DELAY.mul_f64(rand::random_range(0.5..1.5))).await;
+            sleep(feed.resync_delay.mul_f64(rand::random_range(0.5..1.5))).await;
         }
         Err(e) => {
             cache.handle_store_failure(shared, &e.to_string());
@@ -168,7 +216,7 @@
 
 /// Waits for changes once and applies them.
 async fn watch_once(shared: &Shared, cache: &StoreCache, feed: &Feed) -> Result<(), StoreError> {
-    let page = (shared.store.watch)((feed.prefix.clone(), feed.revision.get(), WATCH_WAIT)).await?;
+    let page = (shared.store.watch)((feed.prefix.clone(), feed.revision.get(), feed.wait)).await?;
     for item in page.items {
         cache.apply(shared, item);
     }
--- a/crates/roles/src/fleet/cache/mod.rs
+++ b/crates/roles/src/fleet/cache/mod.rs
@@ -29,6 +29,7 @@
 use smol_str::SmolStr;
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -52,6 +53,8 @@
     Manifest,
     /// The placer's key was written or deleted.
     Placer,
+    /// The set of evacuated failure domains has changed.
+    Evacuations,
 }
 
 /// The record of a job and the revision at which it was stored.
@@ -85,6 +88,9 @@
     placing: Cell<bool>,
     /// The feed of all keys.
     everything: Rc<Feed>,
+    /// The feed of the evacuated failure domains, if there are any; of the placer and the standbys.
+    evacuations: Option<Rc<Feed>>,
+    evacuated: RefCell<Rc<BTreeSet<SmolStr>>>,
     /// The feeds of the directory: the manifest, the gateways and the placer.
     directory: [Rc<Feed>; 3],
     manifest: RefCell<Option<Rc<Manifest>>>,
@@ -101,7 +107,11 @@
 
 impl StoreCache {
     /// Creates an empty cache of the gateway with these settings.
-    pub fn new(settings: &Settings, manifest_key: SmolStr) -> Self {
+    ///
+    /// `evacuations` is the prefix of requests to evacuate a failure domain, if there are any.
+    pub fn new(settings: &Settings, manifest_key: SmolStr, evacuations: Option<SmolStr>) -> Self {
+        let bound = settings.bounds.evacuation;
+        let evacuations = evacuations.zip(bound);
         Self {
             name: settings.name.clone(),
             own: GatewayEntry::own(settings),
@@ -113,6 +123,8 @@
             succession: RefCell::new(vec![settings.name.clone()]),
             placing: Cell::new(false),
             everything: Feed::new(""),
+            evacuations: evacuations.map(|(prefix, bound)| Feed::of_evacuations(prefix, bound)),
+            evacuated: RefCell::default(),
             directory: [
                 manifest_key,
                 keys::GATEWAY_PREFIX.into(),
@@ -139,6 +151,19 @@
         (current > version).then(|| (current, self.raw_manifest.borrow().clone()))
     }
 
+    /// Returns the evacuated failure domains, and when the newest call was sent that confirmed them;
+    /// none before the first one.
+    pub fn evacuated(&self) -> Option<(Rc<BTreeSet<SmolStr>>, Duration)> {
+        let confirmed_at = self.evacuations.as_ref()?.confirmed_at()?;
+        Some((self.evacuated.borrow().clone(), confirmed_at))
+    }
+
+    /// Returns whether a failure domain is evacuated; one without a name may be.
+    pub fn bars(&self, domain: &str) -> bool {
+        let domains = self.evacuated.borrow();
+        !domains.is_empty() && (domain.is_empty() || domains.contains(domain))
+    }
+
     /// Returns whether the cache includes all records up to a revision of the store.
     pub fn includes_records(&self, revision: u64) -> bool {
         self.everything.synced.get() && self.everything.revision.get() >= revision
@@ -340,7 +365,8 @@
 
     /// Applies an item unless the same or a newer revision of its key is known.
     pub fn apply(&self, shared: &Shared, item: Item) {
-        let key = keys::parse(&item.key);
+        let prefix = self.evacuations.as_ref().map(|f| f.prefix.as_str());
+        let key = keys::parse(&item.key, prefix);
         if matches!(key, Key::Job(_) | Key::Worker(_)) && !self.follows_records() {
             self.drops.set(self.drops.get() + 1);
             return;
@@ -373,10 +399,30 @@
                 *self.placer.borrow_mut() = holder;
                 self.publish(&Change::Placer);
             }
+            Key::Evacuation(domain) => self.apply_evacuation(shared, domain, &item),
             Key::Other => {}
         }
     }
 
+    /// Applies a request to evacuate a failure domain, or its cancellation. Its value has no meaning.
+    fn apply_evacuation(&self, shared: &Shared, domain: SmolStr, item: &Item) {
+        if !keys::is_domain(&domain) {
+            let detail = format!("revision={} key={:?} is ignored", item.revision, item.key);
+            let log = &shared.log;
+            log.emit(Event::EvacuationUnreadable, "evacuation", detail);
+            return;
+        }
+        let mut domains = (**self.evacuated.borrow()).clone();
+        let has_changed = match item.value {
+            Some(_) => domains.insert(domain),
+            None => domains.remove(&domain),
+        };
+        if has_changed {
+            *self.evacuated.borrow_mut() = Rc::new(domains);
+            self.publish(&Change::Evacuations);
+        }
+    }
+
     fn apply_job(&self, shared: &Shared, id: SmolStr, item: &Item) {
         let Some(value) = &item.value else {
             self.jobs.borrow_mut().remove(&id);
@@ -448,7 +494,7 @@
         self.workers.borrow_mut().clear();
         self.revisions
             .borrow_mut()
-            .retain(|key, _| !matches!(keys::parse(key), Key::Job(_) | Key::Worker(_)));
+            .retain(|key, _| !matches!(keys::parse(key, None), Key::Job(_) | Key::Worker(_)));
     }
 }
 
--- a/crates/roles/src/fleet/gateway.rs
+++ b/crates/roles/src/fleet/gateway.rs
@@ -47,7 +47,9 @@
     policy: PolicyService,
 ) -> anyhow::Result<()> {
     let manifest_key = shared.store.manifest_key.clone();
-    let cache = Rc::new(StoreCache::new(&shared.settings, manifest_key));
+    let evacuations = shared.store.evacuation_prefix.clone();
+    let cache = StoreCache::new(&shared.settings, manifest_key, evacuations);
+    let cache = Rc::new(cache);
     let rpc = Rc::new(RpcClient::default());
     let direct_store = shared.store.clone();
     let shared = Rc::new(with_relay(shared, &cache, &rpc));
--- a/crates/roles/src/fleet/keys.rs
+++ b/crates/roles/src/fleet/keys.rs
@@ -20,15 +20,20 @@
     Worker(SmolStr),
     /// The address of a gateway.
     Gateway(SmolStr),
+    /// The request to evacuate the failure domain with this name, which may be unreadable.
+    Evacuation(SmolStr),
     /// The claim of the placer.
     Placer,
     /// A key that the fleet roles do not read.
     Other,
 }
 
-/// Parses a key.
-pub fn parse(key: &str) -> Key {
-    if let Some(id) = key.strip_prefix(JOB_PREFIX) {
+/// Parses a key. `evacuations` is the prefix of requests to evacuate a failure domain, if any.
+pub fn parse(key: &str, evacuations: Option<&str>) -> Key {
+    let domain = evacuations.and_then(|prefix| key.strip_prefix(prefix));
+    if let Some(domain) = domain {
+        Key::Evacuation(domain.into())
+    } else if let Some(id) = key.strip_prefix(JOB_PREFIX) {
         Key::Job(id.into())
     } else if let Some(name) = key.strip_prefix(WORKER_PREFIX) {
         Key::Worker(name.into())
@@ -55,3 +60,10 @@
 pub fn gateway(name: &str) -> SmolStr {
     format_smolstr!("{GATEWAY_PREFIX}{name}")
 }
+
+/// Returns whether a text names a failure domain: it is not empty, and has neither control characters
+/// nor ones that could not be decoded.
+pub fn is_domain(name: &str) -> bool {
+    let is_readable = |c: char| !c.is_control() && c != char::REPLACEMENT_CHARACTER;
+    !name.is_empty() && name.chars().all(is_readable)
+}
--- a/crates/roles/src/fleet/placer.rs
+++ b/crates/roles/src/fleet/placer.rs
@@ -212,6 +212,7 @@
 
     fn handle_input(&mut self, input: Input) {
         let now = self.shared.clock.now();
+        self.update_evacuated();
         self.needs_plan |= !matches!(input, Input::Polled(..) | Input::PollDue(_));
         match input {
             Input::StoreChanged(change) => self.handle_change(change, now),
@@ -248,6 +249,7 @@
                     self.ledger.set_manifest(manifest);
                 }
             }
+            Change::Evacuations => {}
             Change::Placer => {
                 let holder = self.cache.placer.borrow().clone();
                 if holder.is_none_or(|(_, revision)| revision != self.lease.epoch) {
@@ -286,6 +288,7 @@
     /// Plans, stores what the plan changed, and carries out the ledger's effects.
     fn advance(&mut self) {
         let now = self.shared.clock.now();
+        self.update_evacuated();
         self.publish_gauges(now);
         let wall = self.shared.clock.wall_ms();
         let may_plan =
@@ -305,6 +308,9 @@
         }
         let effects = self.ledger.take_effects();
         self.queued_effects.extend(effects);
+        let queued = std::mem::take(&mut self.queued_effects);
+        self.queued_effects = self.ledger.recheck_starts(queued, self.shared.clock.now());
+        self.queued_effects.extend(self.ledger.take_effects());
         let mut deferred = VecDeque::new();
         while let Some(effect) = self.queued_effects.pop_front() {
             match effect {
@@ -321,6 +327,13 @@
         self.queued_effects = deferred;
     }
 
+    /// Tells the ledger which failure domains are evacuated, and when that was confirmed.
+    fn update_evacuated(&mut self) {
+        if let Some((domains, confirmed_at)) = self.cache.evacuated() {
+            self.ledger.set_evacuated(domains, confirmed_at);
+        }
+    }
+
     /// Sets the gauges from the ledger's summary.
     fn publish_gauges(&mut self, now: Duration) {
         if now < self.gauges_set_at + GAUGE_INTERVAL {
@@ -338,6 +351,14 @@
         metrics.set_gauge("accelerators_free", summary.gpus_free);
         metrics.set_gauge("accelerators_usable", summary.gpus_usable);
         metrics.set_gauge("placer_epoch", self.lease.epoch);
+        if self.shared.settings.bounds.evacuation.is_some() {
+            let (domains, shortfall) = self.ledger.evacuation_figures();
+            let confirmed_at = self.cache.evacuated().map_or(Duration::ZERO, |(_, at)| at);
+            let age = now.saturating_sub(confirmed_at);
+            metrics.set_gauge("domains_evacuated", domains);
+            metrics.set_gauge("evacuations_age_ms", age.as_millis() as u64);
+            metrics.set_gauge("guaranteed_short", shortfall);
+        }
     }
 
     fn log_decision(&self, note: Note) {
@@ -357,6 +378,12 @@
             Decision::WorkerDraining => Event::WorkerDraining,
             Decision::Quarantined => Event::WorkerQuarantined,
             Decision::Paced => Event::RunPaced,
+            Decision::EvacuationBegan => Event::EvacuationBegan,
+            Decision::EvacuationEnded => Event::EvacuationEnded,
+            Decision::AllEvacuated => Event::AllEvacuated,
+            Decision::GuaranteeShort => Event::GuaranteeShort,
+            Decision::StartsPaused => Event::StartsPaused,
+            Decision::StartsResumed => Event::StartsResumed,
         };
         self.shared.metrics.count_decision(event);
         let log = &self.shared.log;
@@ -458,12 +485,16 @@
         let (lease, clock) = (self.lease.clone(), self.shared.clock.clone());
         let metrics = self.shared.metrics.clone();
         let (kind, sent) = (order_kind(&order), clock.now());
+        let is_start = matches!(order, Order::Start(_));
+        let domain = self.ledger.domain(&sidecar).filter(|_| is_start).cloned();
+        let cache = self.cache.clone();
         self.open_orders += 1;
         compio::runtime::spawn(async move {
             let mut unconfirmed = false;
             let mut answer = Answer::Silent;
             for _ in 0..MAX_ORDER_ATTEMPTS {
-                if !lease.is_held(clock.now()) {
+                let is_barred = unconfirmed && domain.as_ref().is_some_and(|d| cache.bars(d));
+                if is_barred || !lease.is_held(clock.now()) {
                     break;
                 }
                 answer = deliver(&rpc, addr, &envelope, ORDER_TIMEOUT).await;
@@ -577,7 +608,7 @@
     }
 
     fn handle_conflict(&mut self, item: &Item, now: Duration) {
-        let keys::Key::Job(id) = keys::parse(&item.key) else {
+        let keys::Key::Job(id) = keys::parse(&item.key, None) else {
             return;
         };
         let detail = format!("revision={}", item.revision);
--- a/crates/roles/src/fleet/port.rs
+++ b/crates/roles/src/fleet/port.rs
@@ -124,6 +124,9 @@
 pub struct Store {
     /// The key of the operators' manifest.
     pub manifest_key: SmolStr,
+    /// The prefix of the keys with which operators request the evacuation of a failure domain, whose
+    /// name follows; none if they cannot.
+    pub evacuation_prefix: Option<SmolStr>,
     /// Decodes a manifest.
     pub decode_manifest: Decode<[u8], Manifest>,
     /// Reads one key.
--- a/crates/roles/src/fleet/sidecar/mod.rs
+++ b/crates/roles/src/fleet/sidecar/mod.rs
@@ -28,12 +28,15 @@
 use hibiscusbarrow_fleet::announced::Verdict;
 use hibiscusbarrow_fleet::ended_runs::EndedRuns;
 use hibiscusbarrow_fleet::last_listing::LastListing;
+use hibiscusbarrow_fleet::start_limit::WorkerClock;
 use hibiscusbarrow_fleet::stray_calls::StrayCalls;
 use hibiscusbarrow_fleet::worker::Announcement;
 use hibiscusbarrow_fleet::worker::Answer;
+use hibiscusbarrow_fleet::worker::Boot;
 use hibiscusbarrow_fleet::worker::Envelope;
 use hibiscusbarrow_fleet::worker::Order;
 use hibiscusbarrow_fleet::worker::Refusal;
+use hibiscusbarrow_fleet::worker::Start;
 use hibiscusbarrow_model::code::Code;
 use hibiscusbarrow_model::event::Event;
 use std::cell::Cell;
@@ -62,6 +65,8 @@
     held: Cell<Option<u64>>,
     /// What the worker listed last if it drains.
     last_listing: RefCell<LastListing>,
+    /// The worker's clock, against which the latest time of a start is checked.
+    clock: Cell<WorkerClock>,
     /// Whether the worker is watched between the polls of the placer.
     watching: Cell<bool>,
     /// Cloned by each poll that has no answer yet.
@@ -106,6 +111,7 @@
         stray_calls: RefCell::default(),
         held: Cell::new(None),
         last_listing: RefCell::default(),
+        clock: Cell::default(),
         watching: Cell::new(false),
         open_polls: Rc::default(),
         epoch: Cell::new(0),
@@ -185,7 +191,10 @@
         }
     }
 
-    fn handle_heartbeat(self: Rc<Self>, heartbeat: Announcement) -> Reply {
+    fn handle_heartbeat(self: Rc<Self>, mut heartbeat: Announcement) -> Reply {
+        if heartbeat.domain.is_empty() {
+            heartbeat.domain = self.shared.settings.domain.clone();
+        }
         let former = self.announced.borrow().current().cloned();
         let verdict = self.announced.borrow_mut().hear(&heartbeat);
         match verdict {
@@ -299,6 +308,11 @@
             if self.ended_runs.borrow().contains(&start.task, start.run) {
                 return Answer::Refused(Refusal::Old);
             }
+            let now = self.shared.clock.now();
+            let clock = self.clock.get();
+            if clock.is_too_late(start, announced.boot.born, now) {
+                return self.refuse_late(&announced.boot, start);
+            }
         }
         if let Order::Stop { task, run } = &envelope.order {
             self.ended_runs.borrow_mut().insert(task, *run);
@@ -319,6 +333,9 @@
         }
         match answer {
             Answer::Listed(_, listing) => {
+                let mut clock = self.clock.get();
+                clock.read(&listing, self.shared.clock.now());
+                self.clock.set(clock);
                 for end in &listing.ended {
                     self.ended_runs.borrow_mut().insert(&end.task, end.run);
                 }
@@ -339,4 +356,23 @@
             }
         }
     }
+
+    /// Refuses a start whose latest time has passed, or cannot be checked.
+    fn refuse_late(&self, boot: &Boot, start: &Start) -> Answer {
+        let detail = format!(
+            "boot={} {:?} run={} latest={:?} {:?}: refused as too late",
+            boot.id,
+            start.task,
+            start.run,
+            start.latest,
+            self.clock.get()
+        );
+        let log = &self.shared.log;
+        log.emit(
+            Event::OrderRefused,
+            self.shared.settings.name.clone(),
+            detail,
+        );
+        Answer::Refused(Refusal::Late)
+    }
 }
--- a/crates/roles/tests/cache.rs
+++ b/crates/roles/tests/cache.rs
@@ -110,6 +110,7 @@
     let (lists, watches) = (fake.clone(), fake.clone());
     Store {
         manifest_key: "manifest".into(),
+        evacuation_prefix: None,
         decode_manifest: Rc::new(|_| Err("no manifest".into())),
         get: Rc::new(|_| Box::pin(std::future::ready(refuse()))),
         list: Rc::new(move |(prefix, after)| Box::pin(lists.clone().list(prefix, after))),
@@ -168,7 +169,7 @@
             fake.put_job(id);
         }
         let shared = shared(port(&fake));
-        let cache = Rc::new(StoreCache::new(&shared.settings, "manifest".into()));
+        let cache = Rc::new(StoreCache::new(&shared.settings, "manifest".into(), None));
         compio::runtime::spawn(follow(shared.clone(), cache.clone())).detach();
         wait_for("the first listing", || cache.jobs.borrow().len() == 4).await;
         wait_for("records", || cache.has_fresh_records(shared.clock.now())).await;
--- a/crates/roles/tests/relay.rs
+++ b/crates/roles/tests/relay.rs
@@ -25,6 +25,7 @@
     }
     Store {
         manifest_key: "manifest".into(),
+        evacuation_prefix: None,
         decode_manifest: Rc::new(|_| Err("no manifest".into())),
         get: Rc::new(|_| Box::pin(std::future::ready(refuse()))),
         list: Rc::new(|_| Box::pin(std::future::ready(refuse()))),
--- a/src/cmd/bench/ledger.rs
+++ b/src/cmd/bench/ledger.rs
@@ -124,6 +124,7 @@
             },
             sequence: 1,
             service: "service".into(),
+            domain: SmolStr::default(),
             capacity: Resources {
                 cpu: 128_000,
                 memory: 512_000,
