--- a/crates/fleet/tests/suite/evacuation.rs
+++ b/crates/fleet/tests/suite/evacuation.rs
@@ -106,6 +106,10 @@
     cluster.advance(SETTLE_TIME);
 
     assert_eq!((starts_in(&cluster, "a"), starts_in(&cluster, "b")), (0, 2));
+    assert!(
+        !has_logged(&cluster, Decision::Lost),
+        "a start was withdrawn"
+    );
     cluster.evacuated.clear();
     cluster.advance(SETTLE_TIME);
     assert_eq!((starts_in(&cluster, "a"), starts_in(&cluster, "b")), (2, 2));
@@ -310,6 +314,8 @@
     cluster.advance(SETTLE_TIME);
 
     assert_eq!(cluster.starts.len(), 0);
+    // A plan without knowledge would also be withdrawn, after writes to the store at each attempt.
+    assert!(!has_logged(&cluster, Decision::Placed));
     cluster.is_cut_off = false;
     cluster.advance(SETTLE_TIME);
     assert_eq!((starts_in(&cluster, "a"), starts_in(&cluster, "b")), (0, 2));
--- a/crates/fleet/tests/suite/model.rs
+++ b/crates/fleet/tests/suite/model.rs
@@ -378,13 +378,13 @@
         let domain = SmolStr::from(["a", "b"][self.draw_evacuation(2) as usize]);
         let now = self.now;
         match self.draw_evacuation(300) {
-            0..=1 => {
+            0..=2 => {
                 self.evacuated.entry(domain).or_insert(now);
             }
-            2 => {
+            3..=4 => {
                 self.evacuated.remove(&domain);
             }
-            3 if self.evacuated.contains_key(&domain) => {
+            5 if self.evacuated.contains_key(&domain) => {
                 self.evacuated.insert(domain, now);
             }
             _ => {}
@@ -435,6 +435,19 @@
         due
     }
 
+    /// Sends an order. With evacuations, one start in five is held back on its link, some of them for
+    /// longer than the bound.
+    fn send_order(&mut self, message: Message) {
+        let is_start = matches!(&message, Message::Order(.., Order::Start(_)));
+        let may_hold = is_start && self.faults && self.evacuation_draws.is_some();
+        if may_hold && self.draw_evacuation(5) == 0 {
+            let delay = Duration::from_millis(1_000 + self.draw_evacuation(8_000));
+            self.in_transit.push((self.now + delay, message));
+        } else {
+            self.send(message);
+        }
+    }
+
     /// Asserts that a start is not in a domain whose evacuation was requested before the bound.
     fn check_domain(&self, sidecar: &SmolStr, task: &TaskId) {
         let domain = &self.workers[sidecar].domain;
@@ -648,9 +661,9 @@
                 let duplicate = self.faults && self.rng.below(10) == 0;
                 if duplicate {
                     let (n, b, o) = (sidecar.clone(), boot.clone(), order.clone());
-                    self.send(Message::Order(placer, n, now, Some(b), epoch, o));
+                    self.send_order(Message::Order(placer, n, now, Some(b), epoch, o));
                 }
-                self.send(Message::Order(
+                self.send_order(Message::Order(
                     placer,
                     sidecar,
                     now,
--- a/crates/roles/src/fleet/placer.rs
+++ b/crates/roles/src/fleet/placer.rs
@@ -353,11 +353,12 @@
         metrics.set_gauge("placer_epoch", self.lease.epoch);
         if self.shared.settings.bounds.evacuation.is_some() {
             let (domains, shortfall) = self.ledger.evacuation_figures();
-            let confirmed_at = self.cache.evacuated().map_or(Duration::ZERO, |(_, at)| at);
-            let age = now.saturating_sub(confirmed_at);
             metrics.set_gauge("domains_evacuated", domains);
-            metrics.set_gauge("evacuations_age_ms", age.as_millis() as u64);
             metrics.set_gauge("guaranteed_short", shortfall);
+            if let Some((_, confirmed_at)) = self.cache.evacuated() {
+                let age = now.saturating_sub(confirmed_at);
+                metrics.set_gauge("evacuations_age_ms", age.as_millis() as u64);
+            }
         }
     }
 
--- a/crates/roles/tests/cache.rs
+++ b/crates/roles/tests/cache.rs
@@ -39,6 +39,8 @@
     compacted: Cell<u64>,
     /// The pages of listings of all keys that were asked for.
     pages: Cell<usize>,
+    /// The prefix and the longest wait of each watch.
+    waits: RefCell<Vec<(SmolStr, Duration)>>,
 }
 
 impl FakeStore {
@@ -69,6 +71,11 @@
         );
     }
 
+    fn delete(&self, key: &str) {
+        self.revision.set(self.revision.get() + 1);
+        self.items.borrow_mut().retain(|i| i.key != key);
+    }
+
     async fn list(self: Rc<Self>, prefix: SmolStr, after: SmolStr) -> Result<Page, StoreError> {
         if prefix.is_empty() {
             self.pages.set(self.pages.get() + 1);
@@ -114,7 +121,10 @@
         decode_manifest: Rc::new(|_| Err("no manifest".into())),
         get: Rc::new(|_| Box::pin(std::future::ready(refuse()))),
         list: Rc::new(move |(prefix, after)| Box::pin(lists.clone().list(prefix, after))),
-        watch: Rc::new(move |(prefix, after, _)| Box::pin(watches.clone().watch(prefix, after))),
+        watch: Rc::new(move |(prefix, after, wait)| {
+            watches.waits.borrow_mut().push((prefix.clone(), wait));
+            Box::pin(watches.clone().watch(prefix, after))
+        }),
         commit: Rc::new(|_| Box::pin(std::future::ready(refuse()))),
         grant: Rc::new(|_| Box::pin(std::future::ready(refuse()))),
         renew: Rc::new(|_| Box::pin(std::future::ready(refuse()))),
@@ -123,6 +133,10 @@
 }
 
 fn shared(store: Store) -> Rc<Shared> {
+    shared_with(store, Bounds::default())
+}
+
+fn shared_with(store: Store, bounds: Bounds) -> Rc<Shared> {
     let addr = "127.0.0.1:1".parse().expect("the address is valid");
     let clock = Clock::system();
     let logger = slog::Logger::root(slog::Discard, slog::o!());
@@ -138,7 +152,7 @@
             metrics_addr: addr,
             max_connections: 1,
             shutdown_timeout: Duration::from_secs(1),
-            bounds: Bounds::default(),
+            bounds,
         },
         clock: clock.clone(),
         log: EventLog::new("gateway", clock, logger),
@@ -183,3 +197,135 @@
         assert_eq!(cache.jobs.borrow().len(), 5);
     });
 }
+
+/// The prefix of requests to evacuate a failure domain.
+const EVACUATIONS: &str = "op/evacuate/";
+
+/// Starts the cache of a gateway that is registered alone and follows the evacuated domains, with a
+/// bound of 5 s.
+fn start_with_evacuations(fake: &Rc<FakeStore>) -> (Rc<Shared>, Rc<StoreCache>) {
+    fake.put(&format!("{GATEWAYS}gateway"), "127.0.0.1:1 1000 a");
+    let bounds = Bounds {
+        evacuation: Some(Duration::from_secs(5)),
+        ..Bounds::default()
+    };
+    let shared = shared_with(port(fake), bounds);
+    let prefix = Some(EVACUATIONS.into());
+    let cache = StoreCache::new(&shared.settings, "manifest".into(), prefix);
+    let cache = Rc::new(cache);
+    compio::runtime::spawn(follow(shared.clone(), cache.clone())).detach();
+    (shared, cache)
+}
+
+/// Returns the evacuated domains that a cache knows; none before it has read them.
+fn evacuated(cache: &StoreCache) -> Option<Vec<SmolStr>> {
+    let (domains, _) = cache.evacuated()?;
+    Some(domains.iter().cloned().collect())
+}
+
+/// With thousands of records a listing of all keys takes seconds, in which a request would not be
+/// noticed, and the age of the knowledge would keep all work from starting.
+#[test]
+fn evacuations_are_read_while_all_keys_are_listed_again() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let fake = Rc::new(FakeStore::default());
+        for number in 0..20 {
+            fake.put_job(&format!("j{number:02}"));
+        }
+        let (shared, cache) = start_with_evacuations(&fake);
+        wait_for("records", || cache.has_fresh_records(shared.clock.now())).await;
+        assert_eq!(evacuated(&cache), Some(Vec::new()));
+
+        fake.put("op/evacuate/a", "");
+        fake.compacted.set(fake.revision.get());
+        let lost_at = shared.clock.now();
+        wait_for("the request", || {
+            evacuated(&cache) == Some(vec!["a".into()])
+        })
+        .await;
+        let seen_revision = fake.revision.get();
+
+        assert!(!cache.includes_records(seen_revision));
+        let (_, confirmed_at) = cache.evacuated().expect("they are known");
+        assert!(confirmed_at >= lost_at);
+    });
+}
+
+/// A cancellation that falls into lost history shows only in the listing.
+#[test]
+fn cancellation_in_lost_history_is_noticed() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let fake = Rc::new(FakeStore::default());
+        fake.put("op/evacuate/a", "");
+        fake.put("op/evacuate/b", "");
+        let (_, cache) = start_with_evacuations(&fake);
+        let both = Some(vec!["a".into(), "b".into()]);
+        wait_for("the requests", || evacuated(&cache) == both).await;
+
+        fake.delete("op/evacuate/a");
+        fake.compacted.set(fake.revision.get());
+
+        wait_for("the cancellation", || {
+            evacuated(&cache) == Some(vec!["b".into()])
+        })
+        .await;
+    });
+}
+
+/// One key that an operator mistyped must not hide the others, or keep all work away.
+#[test]
+fn unreadable_requests_are_ignored() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let fake = Rc::new(FakeStore::default());
+        for name in ["", "\u{1}", "\u{fffd}", "a"] {
+            fake.put(&format!("{EVACUATIONS}{name}"), "value");
+        }
+
+        let (_, cache) = start_with_evacuations(&fake);
+
+        wait_for("the requests", || evacuated(&cache).is_some()).await;
+        assert_eq!(evacuated(&cache), Some(vec!["a".into()]));
+    });
+}
+
+/// A silent connection is noticed 700 ms after the wait of a watch has passed. With the wait of the
+/// other feeds, the knowledge would be too old by then.
+#[test]
+fn watches_of_evacuations_wait_for_a_short_time() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let fake = Rc::new(FakeStore::default());
+
+        let (_, cache) = start_with_evacuations(&fake);
+        wait_for("the requests", || evacuated(&cache).is_some()).await;
+        let of_evacuations = |(prefix, _): &&(SmolStr, Duration)| prefix == EVACUATIONS;
+        wait_for("a watch", || {
+            fake.waits.borrow().iter().any(|w| of_evacuations(&w))
+        })
+        .await;
+
+        let waits = fake.waits.borrow();
+        let mut waits = waits.iter().filter(of_evacuations);
+        assert!(waits.all(|(_, wait)| *wait <= Duration::from_millis(500)));
+    });
+}
+
+/// A deployment without the bound makes the calls of before.
+#[test]
+fn without_a_bound_no_call_asks_for_evacuations() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let fake = Rc::new(FakeStore::default());
+        fake.put(&format!("{GATEWAYS}gateway"), "127.0.0.1:1 1000 a");
+        fake.put("op/evacuate/a", "");
+        let shared = shared(port(&fake));
+        let cache = Rc::new(StoreCache::new(&shared.settings, "manifest".into(), None));
+        compio::runtime::spawn(follow(shared.clone(), cache.clone())).detach();
+        wait_for("records", || cache.has_fresh_records(shared.clock.now())).await;
+
+        sleep(Duration::from_millis(600)).await;
+
+        assert_eq!(evacuated(&cache), None);
+        assert!(!cache.bars("a"));
+        let asked = fake.waits.borrow().iter().any(|(p, _)| p == EVACUATIONS);
+        assert!(!asked);
+    });
+}
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -40,6 +40,8 @@
     pub dir: PathBuf,
     pub store: StoreStandin,
     pub workers: Vec<WorkerStandin>,
+    /// The bound of evacuations in the settings, if any.
+    evacuation: Option<Duration>,
     /// Whether the logs stay when the fleet is dropped.
     keeps_logs: bool,
     gateways: usize,
@@ -55,6 +57,11 @@
     /// Starts the processes and waits until every gateway is ready and knows the others and the
     /// placer, and every sidecar has registered.
     pub fn start(gateways: usize, sidecars: usize) -> Self {
+        Self::start_with(gateways, sidecars, None)
+    }
+
+    /// Starts the processes with a bound of evacuations, if any, in their settings.
+    pub fn start_with(gateways: usize, sidecars: usize, evacuation: Option<Duration>) -> Self {
         let number = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
         let unique = format!("fleet-{}-{number}", std::process::id());
         let dir = std::env::temp_dir().join(unique);
@@ -67,6 +74,7 @@
             dir,
             store,
             workers: Vec::new(),
+            evacuation,
             keeps_logs: false,
             gateways,
             children: BTreeMap::new(),
@@ -107,7 +115,12 @@
             worker: sidecar.then(|| self.workers[index - self.gateways].addr),
         };
         let path = self.dir.join(format!("{name}.toml"));
-        fs::write(&path, standin::settings(&config)).expect("the settings are written");
+        let mut settings = standin::settings(&config);
+        if let Some(bound) = self.evacuation {
+            let bounds = format!("[bounds]\nevacuate-ms = {}\n", bound.as_millis());
+            settings = settings.replace("[bounds]\n", &bounds);
+        }
+        fs::write(&path, settings).expect("the settings are written");
         let log_path = self.dir.join(format!("{name}.log"));
         let log = File::options().create(true).append(true).open(log_path);
         let child = Command::new(env!("CARGO_BIN_EXE_hibiscusbarrow"))
@@ -296,7 +309,7 @@
     }
 
     /// Returns the index of the gateway that holds the placer lease.
-    fn placer(&self) -> usize {
+    pub fn placer(&self) -> usize {
         let leases = self.store.read("hibiscusbarrow/placer");
         let holder = leases
             .values()
