Move the fleet's harness to a module of its own

The tests of misbehaving clients need it in a second test target, which must not run the fleet's tests again. The tests themselves are unchanged.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,12 +2,21 @@
 
 mod cancelling;
 mod catalogues;
+#[expect(
+    dead_code,
+    reason = "some functions are used by the tests of clients only"
+)]
 mod cluster;
 mod commands;
 mod configuration;
 mod explain;
 mod failures;
 mod fleet;
+#[expect(
+    dead_code,
+    reason = "some functions are used by the tests of clients only"
+)]
+mod fleet_harness;
 mod jobs;
 mod keys;
 mod load;
