--- a/tests/testsuite/fleet_harness.rs
+++ b/tests/testsuite/fleet_harness.rs
@@ -40,6 +40,7 @@
     pub workers: Vec<WorkerStandin>,
     /// Whether the logs stay when the fleet is dropped.
     keeps_logs: bool,
+    /// The limits that the settings of every process state.
     machine: MachineLimits,
     pub gateways: usize,
     pub children: BTreeMap<String, Child>,
