Limit what clients can hold: one budget for all listeners of a process

Untrusted clients could make a process run out of memory with many unfinished bodies. Connections, bodies, heads and answers are now charged to a budget before they are allocated; stalled connections make way for newcomers, which are otherwise refused with 503 and Retry-After.

--- a/crates/adapters/src/http/client.rs
+++ b/crates/adapters/src/http/client.rs
@@ -1,13 +1,14 @@
 //! An HTTP client whose errors say whether the request may have been sent.
 
+use super::body::BodyBuffer;
+use crate::clients::LimitedStream;
 use bytes::Bytes;
 use compio::net::TcpStream;
 use compio::time::timeout;
-use cyper_core::HyperStream;
 use http::Response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::Limited;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use std::cell::Cell;
@@ -18,6 +19,8 @@
 
 /// The largest number of idle connections in the pool for one address.
 const MAX_IDLE_CONNECTIONS: usize = 32;
+/// The largest head of an answer, in bytes.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 
 /// The failure of an HTTP call.
 #[derive(Clone, Debug, Eq, PartialEq, thiserror::Error)]
@@ -180,10 +183,11 @@
             .await
             .map_err(|e| not_sent(e.to_string()))?;
         let _ = stream.set_nodelay(true);
-        let (mut sender, connection) =
-            hyper::client::conn::http1::handshake(HyperStream::new_plain(stream))
-                .await
-                .map_err(|e| not_sent(e.to_string()))?;
+        let (mut sender, connection) = hyper::client::conn::http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(LimitedStream::outgoing(stream))
+            .await
+            .map_err(|e| not_sent(e.to_string()))?;
         compio::runtime::spawn(async move {
             let _ = connection.await;
         })
@@ -236,12 +240,32 @@
     ready.map_err(|e| SendError::NotSent(e.to_string()))
 }
 
+/// Reads the body of an answer into one buffer, which grows as the body arrives.
 async fn read_body(
     reply: Response<Incoming>,
     max_body: usize,
 ) -> Result<Response<Bytes>, SendError> {
-    let (parts, body) = reply.into_parts();
-    let body = Limited::new(body, max_body).collect().await;
-    let body = body.map_err(|e| SendError::Truncated(e.to_string()))?;
-    Ok(Response::from_parts(parts, body.to_bytes()))
+    let (parts, mut body) = reply.into_parts();
+    let truncated = |e: &dyn std::fmt::Display| SendError::Truncated(e.to_string());
+    let too_large = || SendError::Truncated(format!("the body exceeds {max_body} bytes"));
+    let announced = body.size_hint().exact();
+    let max_len = announced.unwrap_or(max_body as u64);
+    if max_len > max_body as u64 {
+        return Err(too_large());
+    }
+    let mut buffer = BodyBuffer::new(max_len as usize);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| truncated(&e))?;
+        let Some(data) = frame.data_ref() else {
+            continue;
+        };
+        if buffer.len() + data.len() > max_body {
+            return Err(too_large());
+        }
+        if let Some(capacity) = buffer.next_capacity(data.len()) {
+            buffer.grow(capacity).map_err(|e| truncated(&e))?;
+        }
+        buffer.extend(data);
+    }
+    Ok(Response::from_parts(parts, buffer.into_bytes()))
 }
--- a/crates/adapters/src/http/mod.rs
+++ b/crates/adapters/src/http/mod.rs
@@ -1,5 +1,6 @@
 //! HTTP/1.1 through `hyper` on `compio` sockets.
 
+mod body;
 mod client;
 mod server;
 
@@ -9,7 +10,9 @@
 pub use server::Limits;
 pub use server::Reply;
 pub use server::Request;
+pub use server::bind;
 pub use server::fault_reply;
 pub use server::json_reply;
 pub use server::serve;
+pub use server::serve_limited;
 pub use server::text_reply;
--- a/crates/adapters/src/lib.rs
+++ b/crates/adapters/src/lib.rs
@@ -20,6 +20,7 @@
 #[rustfmt::skip]
 pub mod node_capnp;
 
+pub mod clients;
 pub mod gossip;
 pub mod http;
 pub mod log;
--- a/crates/adapters/src/metrics/mod.rs
+++ b/crates/adapters/src/metrics/mod.rs
@@ -10,6 +10,7 @@
 use prometheus::Encoder;
 use prometheus::Registry;
 use prometheus::TextEncoder;
+use std::cell::RefCell;
 use std::time::Duration;
 
 /// The bucket boundaries of `step_seconds`, in seconds: from the duration of a call
@@ -29,8 +30,15 @@
     gauges: Gauge<u64>,
     decisions: Counter<u64>,
     steps: Histogram<f64>,
+    clients_refused: Counter<u64>,
+    clients_closed: Counter<u64>,
+    client_levels: Gauge<u64>,
+    observers: RefCell<Vec<Observer>>,
 }
 
+/// A function that sets gauges when the metrics are read.
+type Observer = Box<dyn Fn(&Metrics)>;
+
 impl Metrics {
     /// Creates the metrics and registers them with a Prometheus exporter.
     ///
@@ -57,6 +65,10 @@
                 .f64_histogram("step_seconds")
                 .with_boundaries(STEP_BOUNDARIES.to_vec())
                 .build(),
+            clients_refused: meter.u64_counter("clients_refused").build(),
+            clients_closed: meter.u64_counter("clients_closed").build(),
+            client_levels: meter.u64_gauge("client_level").build(),
+            observers: RefCell::default(),
             _provider: provider,
         })
     }
@@ -97,8 +109,33 @@
         self.gauges.record(value, &[KeyValue::new("name", name)]);
     }
 
+    /// Counts a client's request that was refused because of a limit, by its cause.
+    pub fn count_client_refused(&self, cause: &'static str) {
+        self.clients_refused
+            .add(1, &[KeyValue::new("cause", cause)]);
+    }
+
+    /// Counts a client's connection that was closed because of a limit, by its cause.
+    pub fn count_client_closed(&self, cause: &'static str) {
+        self.clients_closed.add(1, &[KeyValue::new("cause", cause)]);
+    }
+
+    /// Sets a gauge of the budget for clients: a limit or what a class of clients holds.
+    pub fn set_client_level(&self, class: &'static str, name: &'static str, value: u64) {
+        let labels = [KeyValue::new("class", class), KeyValue::new("name", name)];
+        self.client_levels.record(value, &labels);
+    }
+
+    /// Registers a function that sets gauges each time the metrics are read.
+    pub fn add_observer(&self, observer: impl Fn(&Self) + 'static) {
+        self.observers.borrow_mut().push(Box::new(observer));
+    }
+
     /// Returns all metrics in the Prometheus text format.
     pub fn render(&self) -> Vec<u8> {
+        for observer in self.observers.borrow().iter() {
+            observer(self);
+        }
         let mut text = Vec::new();
         let families = self.registry.gather();
         let _ = TextEncoder::new().encode(&families, &mut text);
--- a/crates/adapters/src/rpc/client.rs
+++ b/crates/adapters/src/rpc/client.rs
@@ -3,13 +3,13 @@
 use super::ForwardReply;
 use super::ForwardRequest;
 use super::server::reader_options;
+use crate::clients::LimitedStream;
 use crate::node_capnp::node;
 use crate::signal::Flag;
 use bytes::Bytes;
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::twoparty::VatNetwork;
-use compio::io::compat::AsyncStream;
 use compio::net::TcpStream;
 use compio::time::timeout;
 use futures_util::AsyncReadExt;
@@ -184,7 +184,7 @@
         .map_err(|_| "the connection attempt timed out".to_owned())?
         .map_err(|e| e.to_string())?;
     let _ = stream.set_nodelay(true);
-    let (reader, writer) = AsyncStream::new(stream).split();
+    let (reader, writer) = LimitedStream::outgoing(stream).split();
     let network = VatNetwork::new(reader, writer, Side::Client, reader_options());
     let mut system = RpcSystem::new(Box::new(network), None);
     let client: node::Client = system.bootstrap(Side::Server);
--- a/crates/adapters/src/rpc/mod.rs
+++ b/crates/adapters/src/rpc/mod.rs
@@ -1,13 +1,16 @@
 //! RPC between processes through `capnp-rpc`.
 
 mod client;
+mod meter;
 mod server;
 
 pub use client::RpcClient;
 pub use client::RpcError;
 pub use server::Handlers;
+pub use server::RpcLimits;
 pub use server::Shutdown;
 pub use server::serve;
+pub use server::serve_limited;
 
 use bytes::Bytes;
 use hibiscusbarrow_model::code::Code;
--- a/crates/adapters/src/rpc/server.rs
+++ b/crates/adapters/src/rpc/server.rs
@@ -2,6 +2,11 @@
 
 use super::ForwardReply;
 use super::ForwardRequest;
+use super::meter::MessageMeter;
+use super::meter::PeerShare;
+use crate::clients::ClientConnection;
+use crate::clients::ClientLimiter;
+use crate::clients::LimitedStream;
 use crate::node_capnp::node;
 use crate::signal::Flag;
 use bytes::Bytes;
@@ -9,13 +14,16 @@
 use capnp_rpc::RpcSystem;
 use capnp_rpc::rpc_twoparty_capnp::Side;
 use capnp_rpc::twoparty::VatNetwork;
-use compio::io::compat::AsyncStream;
 use compio::net::TcpListener;
 use compio::net::TcpStream;
 use futures_util::AsyncReadExt;
+use futures_util::future::AbortHandle;
+use futures_util::future::Abortable;
 use futures_util::future::Either;
 use futures_util::future::LocalBoxFuture;
 use futures_util::future::select;
+use hibiscusbarrow_coordination::client_budget::Class;
+use hibiscusbarrow_model::code::Code;
 use smol_str::SmolStr;
 use std::cell::Cell;
 use std::pin::pin;
@@ -25,6 +33,13 @@
 /// The largest message that is read, in words of eight bytes.
 const MAX_MESSAGE_WORDS: usize = 4 << 20;
 
+/// The bytes that a call takes for each byte of its body: its message, the copy for the handler
+/// and an answer of the same size.
+const CALL_FACTOR: u64 = 3;
+/// The first and the longest delay after a connection could not be accepted.
+const MIN_ACCEPT_DELAY: Duration = Duration::from_millis(10);
+const MAX_ACCEPT_DELAY: Duration = Duration::from_secs(1);
+
 type Forward = dyn Fn(ForwardRequest) -> LocalBoxFuture<'static, ForwardReply>;
 type Config = dyn Fn(u64) -> Option<(u64, Bytes)>;
 
@@ -83,30 +98,97 @@
     }
 }
 
+/// The limits of a server for peers.
+#[derive(Clone)]
+pub struct RpcLimits {
+    /// The budget of the process.
+    pub limiter: ClientLimiter,
+    /// The largest message, in bytes.
+    pub max_message: u64,
+    /// The longest time without a byte of a message that has begun, until the first message, or
+    /// without the peer reading its answer.
+    pub stall_timeout: Duration,
+}
+
+impl RpcLimits {
+    /// Creates limits with the given budget and largest message in bytes.
+    pub fn new(limiter: ClientLimiter, max_message: u64) -> Self {
+        Self {
+            limiter,
+            max_message,
+            stall_timeout: Duration::from_secs(10),
+        }
+    }
+}
+
 /// Accepts connections of peers until the server is closed, and serves their calls.
+///
+/// The limits are those of a large machine, as stand-ins need them.
 pub async fn serve(listener: TcpListener, handlers: Handlers, shutdown: Shutdown) {
+    let max_message = (MAX_MESSAGE_WORDS * 8) as u64;
+    let limits = RpcLimits::new(ClientLimiter::detached(), max_message);
+    serve_limited(listener, handlers, shutdown, limits).await;
+}
+
+/// Accepts connections of peers until the server is closed, and serves their calls within the
+/// limits.
+pub async fn serve_limited(
+    listener: TcpListener,
+    handlers: Handlers,
+    shutdown: Shutdown,
+    limits: RpcLimits,
+) {
+    let limiter = &limits.limiter;
+    let mut accept_delay = MIN_ACCEPT_DELAY;
     loop {
         let accept = pin!(listener.accept());
         let closed = pin!(shutdown.closed.wait());
-        match select(accept, closed).await {
-            Either::Left((Ok(_), _)) if shutdown.leaving.is_raised() => {}
-            Either::Left((Ok((stream, _)), _)) => {
-                let peer = serve_peer(stream, handlers.clone(), shutdown.begin_use());
-                compio::runtime::spawn(peer).detach();
+        let (stream, addr) = match select(accept, closed).await {
+            Either::Left((Ok(_), _)) if shutdown.leaving.is_raised() => continue,
+            Either::Left((Ok(accepted), _)) => accepted,
+            Either::Left((Err(e), _)) => {
+                limiter.record_accept_failure(&e);
+                limiter.close_one(Class::Peers);
+                compio::time::sleep(accept_delay).await;
+                accept_delay = (2 * accept_delay).min(MAX_ACCEPT_DELAY);
+                continue;
             }
-            Either::Left((Err(_), _)) => compio::time::sleep(Duration::from_millis(10)).await,
             Either::Right(_) => return,
-        }
+        };
+        accept_delay = MIN_ACCEPT_DELAY;
+        let (abort, registration) = AbortHandle::new_pair();
+        let Ok(connection) = limiter.open(Class::Peers, addr, abort).await else {
+            limiter.record_closed("no_connection", addr, "cause=no_connection class=peers");
+            continue;
+        };
+        let in_use = shutdown.begin_use();
+        let peer = serve_peer(stream, connection, handlers.clone(), in_use, limits.clone());
+        let peer = Abortable::new(peer, registration);
+        compio::runtime::spawn(async move {
+            let _ = peer.await;
+        })
+        .detach();
     }
 }
 
-async fn serve_peer(stream: TcpStream, handlers: Handlers, in_use: InUse) {
+async fn serve_peer(
+    stream: TcpStream,
+    connection: Rc<ClientConnection>,
+    handlers: Handlers,
+    in_use: InUse,
+    limits: RpcLimits,
+) {
     let _ = stream.set_nodelay(true);
-    let (reader, writer) = AsyncStream::new(stream).split();
+    connection.use_other_protocol();
+    let share = Rc::new(PeerShare::new(connection.clone()));
+    let stream = LimitedStream::incoming(stream, connection, limits.stall_timeout);
+    let (reader, writer) = stream.split();
+    let reader = MessageMeter::new(reader, share.clone(), limits);
     let network = VatNetwork::new(reader, writer, Side::Server, reader_options());
     let client: node::Client = capnp_rpc::new_client(NodeServer {
         handlers,
         leaving: in_use.0.leaving.clone(),
+        share,
     });
     let system = RpcSystem::new(Box::new(network), Some(client.client));
     let _ = system.await;
@@ -115,6 +197,7 @@
 struct NodeServer {
     handlers: Handlers,
     leaving: Flag,
+    share: Rc<PeerShare>,
 }
 
 impl node::Server for NodeServer {
@@ -123,8 +206,18 @@
         params: node::ForwardParams,
         mut results: node::ForwardResults,
     ) -> Result<(), capnp::Error> {
-        let request = read_request(params.get()?.get_request()?)?;
-        let reply = (self.handlers.forward)(request).await;
+        let request = params.get()?.get_request()?;
+        let body_len = request.get_body()?.len() as u64;
+        let reply = match self.share.begin_call(CALL_FACTOR * body_len).await {
+            Some(_call) => {
+                let request = read_request(request)?;
+                (self.handlers.forward)(request).await
+            }
+            None => {
+                let detail = "the process has no memory left for the call";
+                ForwardReply::failure(Code::Overloaded, detail)
+            }
+        };
         let mut out = results.get().init_reply();
         out.set_code(reply.code.number());
         out.set_detail(reply.detail.as_str());
--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod bucket;
 pub mod budget;
 pub mod call_window;
+pub mod client_budget;
 pub mod clock;
 pub mod drain;
 pub mod duty_cycle;
--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -38,6 +38,12 @@
     Reloaded = 1004, "The settings were read again.";
     LinesDropped = 1005, "Lines of one event were dropped by the rate limit.";
     MetricsUnserved = 1006, "The metrics address could not be bound.";
+    ClientRefused = 1007, "A client's request was refused because a limit of the process was reached.";
+    ClientClosed = 1008, "A client's connection was closed because it stalled or to make room for others.";
+    BodyTooLarge = 1009, "A request was refused because its body exceeds the limit.";
+    AcceptFailed = 1010, "A connection could not be accepted.";
+    ClientLimits = 1011, "The limits for clients were derived from the settings.";
+    PeerLimited = 1012, "A message or call of a peer was refused because of a limit.";
     MemberJoined = 1101, "A member was seen alive.";
     MemberSuspected = 1102, "A member stopped answering and is suspected.";
     MemberDied = 1103, "A member is considered dead.";
--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -40,6 +40,9 @@
     /// Intervals, lifetimes and timeouts.
     #[serde(default)]
     pub timing: Timing,
+    /// Limits for clients.
+    #[serde(default)]
+    pub limits: ClientLimits,
 }
 
 /// The format of the log.
@@ -87,6 +90,70 @@
     }
 }
 
+/// Limits for the clients of a process.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ClientLimits {
+    /// The memory of the machine in MB; by default what the system reports, at most 512.
+    pub memory_mb: Option<u64>,
+    /// The number of file descriptors that the process may open; by default what the system
+    /// allows, at most 8,192.
+    pub max_descriptors: Option<u64>,
+    /// The largest request body; by default 16 MiB at a gateway and 1 MiB at a sidecar.
+    pub max_body_bytes: Option<u64>,
+    /// The longest wait for the head of a request.
+    pub head_timeout_ms: u64,
+    /// The longest wait for the complete body of a request.
+    pub body_timeout_ms: u64,
+    /// The longest time without a byte of a body, or without the client reading its answer.
+    pub stall_timeout_ms: u64,
+}
+
+impl Default for ClientLimits {
+    fn default() -> Self {
+        Self {
+            memory_mb: None,
+            max_descriptors: None,
+            max_body_bytes: None,
+            head_timeout_ms: 10_000,
+            body_timeout_ms: 30_000,
+            stall_timeout_ms: 10_000,
+        }
+    }
+}
+
+/// The largest body may take this part of the machine's memory at most, so that one request of
+/// that size and its copies fit into the share of clients.
+pub const BODY_MEMORY_DIVISOR: u64 = 9;
+
+impl ClientLimits {
+    fn check(&self, document: &Document<'_>) -> Result<(), Fault> {
+        for (field, value, min, max) in [
+            ("memory_mb", self.memory_mb, 64, 1 << 20),
+            ("max_descriptors", self.max_descriptors, 64, 1 << 20),
+            ("max_body_bytes", self.max_body_bytes, 1 << 10, 1 << 30),
+            ("head_timeout_ms", Some(self.head_timeout_ms), 50, 600_000),
+            ("body_timeout_ms", Some(self.body_timeout_ms), 50, 600_000),
+            ("stall_timeout_ms", Some(self.stall_timeout_ms), 50, 600_000),
+        ] {
+            if value.is_some_and(|value| !(min..=max).contains(&value)) {
+                let value = value.unwrap_or(0);
+                let detail = format!("{value} lies outside {min} to {max}");
+                return Err(document.fault(Code::OutOfRange, detail, &format!("limits.{field}")));
+            }
+        }
+        let (Some(memory), Some(body)) = (self.memory_mb, self.max_body_bytes) else {
+            return Ok(());
+        };
+        let max_body = memory * 1_000_000 / BODY_MEMORY_DIVISOR;
+        if body > max_body {
+            let detail = format!("{body} exceeds {max_body}, the most for {memory} MB of memory");
+            return Err(document.fault(Code::OutOfRange, detail, "limits.max_body_bytes"));
+        }
+        Ok(())
+    }
+}
+
 impl Settings {
     /// Parses and validates the settings of one process.
     pub fn parse(name: &str, text: &str) -> Result<Self, Fault> {
@@ -112,7 +179,8 @@
             return Err(document.fault(Code::OutOfRange, detail, "secret"));
         }
         self.check_addresses(document)?;
-        self.timing.check(document)
+        self.timing.check(document)?;
+        self.limits.check(document)
     }
 
     fn check_addresses(&self, document: &Document<'_>) -> Result<(), Fault> {
--- a/crates/roles/src/fleet/gateway.rs
+++ b/crates/roles/src/fleet/gateway.rs
@@ -4,6 +4,8 @@
 use super::cache;
 use super::cache::StoreCache;
 use super::callers::CallerService;
+use super::check_limits;
+use super::create_limiter;
 use super::election;
 use super::keys;
 use super::notify;
@@ -21,12 +23,16 @@
 use super::unconfirmed::UnconfirmedJobs;
 use anyhow::Context;
 use compio::net::TcpListener;
+use hibiscusbarrow_adapters::clients::ClientLimiter;
+use hibiscusbarrow_adapters::clients::Shares;
 use hibiscusbarrow_adapters::http::Limits;
-use hibiscusbarrow_adapters::http::serve;
+use hibiscusbarrow_adapters::http::bind;
+use hibiscusbarrow_adapters::http::serve_limited;
 use hibiscusbarrow_adapters::http::text_reply;
 use hibiscusbarrow_adapters::rpc;
 use hibiscusbarrow_adapters::rpc::Handlers;
 use hibiscusbarrow_adapters::rpc::RpcClient;
+use hibiscusbarrow_adapters::rpc::RpcLimits;
 use hibiscusbarrow_adapters::signal::Flag;
 use hibiscusbarrow_model::code::Code;
 use hibiscusbarrow_model::event::Event;
@@ -35,6 +41,8 @@
 /// After a request to stop, new connections are still served for the shutdown timeout
 /// divided by this.
 const DRAIN_DELAY_DIVISOR: u32 = 2;
+/// The largest message of a peer, in bytes: a relayed transaction with several records.
+const MAX_PEER_MESSAGE: u64 = 8 << 20;
 
 /// Runs a gateway until a planned stop is complete.
 ///
@@ -58,16 +66,21 @@
     let ready_addr = settings
         .ready_addr
         .context("the settings have no address for readiness checks")?;
-    let callers_listener = TcpListener::bind(caller_addr)
+    let limits = Limits {
+        drain_delay: settings.shutdown_timeout / DRAIN_DELAY_DIVISOR,
+        ..Limits::default()
+    };
+    let callers_listener = bind(caller_addr, &limits)
         .await
         .context("cannot bind the address for callers")?;
-    let ready_listener = TcpListener::bind(ready_addr)
+    let ready_listener = bind(ready_addr, &check_limits())
         .await
         .context("cannot bind the address for readiness checks")?;
     let peer_listener = TcpListener::bind(settings.peer_addr)
         .await
         .context("cannot bind the address for peers")?;
-    serve_metrics(&shared);
+    let limiter = create_limiter(&shared, Shares::GATEWAY);
+    serve_metrics(&shared, &limiter);
     let detail = format!(
         "gateway callers={:?} peer={}",
         settings.caller_addr, settings.peer_addr
@@ -75,6 +88,7 @@
     shared
         .log
         .emit(Event::Started, settings.name.clone(), detail);
+    limiter.log_limits();
 
     spawn(cache::follow(shared.clone(), cache.clone()));
     spawn(cache::fetch_from_peers(
@@ -95,9 +109,11 @@
         shared.clone(),
         cache.clone(),
         unconfirmed.clone(),
+        RpcLimits::new(limiter.clone(), MAX_PEER_MESSAGE),
     ));
     spawn(serve_readiness(
         ready_listener,
+        limiter.clone(),
         shared.clone(),
         cache.clone(),
     ));
@@ -117,11 +133,6 @@
     let election = election::run(shared.clone(), services);
     let election = compio::runtime::spawn(election);
 
-    let limits = Limits {
-        max_connections: settings.max_connections,
-        drain_delay: settings.shutdown_timeout / DRAIN_DELAY_DIVISOR,
-        ..Limits::default()
-    };
     let handler = Rc::new(CallerService {
         shared: shared.clone(),
         cache,
@@ -131,7 +142,8 @@
         unconfirmed,
     });
     let handle = move |request| handler.clone().handle(request);
-    serve(callers_listener, limits, shared.stop.clone(), handle).await;
+    let stop = shared.stop.clone();
+    serve_limited(callers_listener, limiter, limits, stop, handle).await;
     let _ = election.await;
     shared.log.emit(
         Event::Stopped,
@@ -167,6 +179,7 @@
     shared: Rc<Shared>,
     cache: Rc<StoreCache>,
     unconfirmed: Rc<UnconfirmedJobs>,
+    limits: RpcLimits,
 ) {
     let forward_cache = cache.clone();
     let handlers = Handlers {
@@ -188,16 +201,21 @@
         }),
         config: Rc::new(move |above| cache.manifest_above(above)),
     };
-    rpc::serve(listener, handlers, rpc::Shutdown::default()).await;
+    rpc::serve_limited(listener, handlers, rpc::Shutdown::default(), limits).await;
 }
 
 /// Serves readiness checks. The gateway is ready while its cache is up to date, it has a
 /// manifest and no planned stop has begun.
-async fn serve_readiness(listener: TcpListener, shared: Rc<Shared>, cache: Rc<StoreCache>) {
+async fn serve_readiness(
+    listener: TcpListener,
+    limiter: ClientLimiter,
+    shared: Rc<Shared>,
+    cache: Rc<StoreCache>,
+) {
     let handler = move |_| {
         let fresh = cache.is_fresh(shared.clock.now());
         let is_ready = fresh && cache.manifest().is_some() && !shared.stop.is_raised();
         async move { text_reply(if is_ready { 200 } else { 503 }, "") }
     };
-    serve(listener, Limits::default(), Flag::default(), handler).await;
+    serve_limited(listener, limiter, check_limits(), Flag::default(), handler).await;
 }
--- a/crates/roles/src/fleet/port.rs
+++ b/crates/roles/src/fleet/port.rs
@@ -1,6 +1,7 @@
 //! Ports: the interfaces through which the fleet roles use the platform.
 
 use bytes::Bytes;
+use hibiscusbarrow_adapters::clients::MachineLimits;
 use hibiscusbarrow_adapters::http::Request;
 use hibiscusbarrow_fleet::job::Schedule;
 use hibiscusbarrow_fleet::job::Step;
@@ -42,8 +43,8 @@
     pub peer_addr: SocketAddr,
     /// The address at which metrics are served.
     pub metrics_addr: SocketAddr,
-    /// The most connections of callers at one time.
-    pub max_connections: usize,
+    /// The memory and descriptors of the machine.
+    pub limits: MachineLimits,
     /// The time from the request to stop until the process must have ended.
     pub shutdown_timeout: Duration,
     /// Time limits that the platform guarantees.
--- a/crates/roles/src/fleet/sidecar/mod.rs
+++ b/crates/roles/src/fleet/sidecar/mod.rs
@@ -4,6 +4,7 @@
 mod incarnations;
 
 use super::Shared;
+use super::create_limiter;
 use super::deliver::ORDER_SERVICE;
 use super::keys;
 use super::port::Worker;
@@ -14,15 +15,18 @@
 use bytes::Bytes;
 use compio::net::TcpListener;
 use compio::time::sleep;
+use hibiscusbarrow_adapters::clients::Shares;
 use hibiscusbarrow_adapters::http::Limits;
 use hibiscusbarrow_adapters::http::Reply;
 use hibiscusbarrow_adapters::http::Request;
-use hibiscusbarrow_adapters::http::serve;
+use hibiscusbarrow_adapters::http::bind;
+use hibiscusbarrow_adapters::http::serve_limited;
 use hibiscusbarrow_adapters::http::text_reply;
 use hibiscusbarrow_adapters::rpc;
 use hibiscusbarrow_adapters::rpc::ForwardReply;
 use hibiscusbarrow_adapters::rpc::ForwardRequest;
 use hibiscusbarrow_adapters::rpc::Handlers;
+use hibiscusbarrow_adapters::rpc::RpcLimits;
 use hibiscusbarrow_adapters::signal::Flag;
 use hibiscusbarrow_fleet::announced::AnnouncedWorker;
 use hibiscusbarrow_fleet::announced::Verdict;
@@ -43,6 +47,8 @@
 
 /// A sidecar that receives no order for this long registers its address again.
 const REGISTRATION_TIMEOUT: Duration = Duration::from_secs(6);
+/// The largest message of a peer, in bytes; orders take a few KiB.
+const MAX_PEER_MESSAGE: u64 = 4 << 20;
 /// The time for answers in flight to be sent at a planned stop.
 const STOP_DELAY: Duration = Duration::from_millis(300);
 
@@ -83,13 +89,18 @@
     let heartbeat_addr = settings
         .heartbeat_addr
         .context("the settings have no address for heartbeats")?;
-    let heartbeat_listener = TcpListener::bind(heartbeat_addr)
+    let limits = Limits {
+        is_reserved: |_| true,
+        ..Limits::default()
+    };
+    let heartbeat_listener = bind(heartbeat_addr, &limits)
         .await
         .context("cannot bind the address for heartbeats")?;
     let peer_listener = TcpListener::bind(settings.peer_addr)
         .await
         .context("cannot bind the address for peers")?;
-    serve_metrics(&shared);
+    let limiter = create_limiter(&shared, Shares::AGENT);
+    serve_metrics(&shared, &limiter);
     let detail = format!(
         "sidecar beats={:?} peer={}",
         settings.heartbeat_addr, settings.peer_addr
@@ -97,6 +108,7 @@
     shared
         .log
         .emit(Event::Started, settings.name.clone(), detail);
+    limiter.log_limits();
     let sidecar = Rc::new(Sidecar {
         worker,
         announced: RefCell::default(),
@@ -112,8 +124,9 @@
         last_order: Cell::new(shared.clock.now()),
         shared: shared.clone(),
     });
+    let peer_limits = RpcLimits::new(limiter.clone(), MAX_PEER_MESSAGE);
     compio::runtime::spawn(sidecar.clone().keep_registered()).detach();
-    compio::runtime::spawn(sidecar.clone().serve_orders(peer_listener)).detach();
+    compio::runtime::spawn(sidecar.clone().serve_orders(peer_listener, peer_limits)).detach();
     let handler = {
         let sidecar = sidecar.clone();
         move |request: Request| {
@@ -121,12 +134,8 @@
             async move { reply }
         }
     };
-    let serving = serve(
-        heartbeat_listener,
-        Limits::default(),
-        Flag::default(),
-        handler,
-    );
+    let stop = Flag::default();
+    let serving = serve_limited(heartbeat_listener, limiter, limits, stop, handler);
     compio::runtime::spawn(serving).detach();
     shared.stop.wait().await;
     sleep(STOP_DELAY).await;
@@ -232,13 +241,13 @@
         log.emit(event, heartbeat.boot.id.clone(), detail);
     }
 
-    async fn serve_orders(self: Rc<Self>, listener: TcpListener) {
+    async fn serve_orders(self: Rc<Self>, listener: TcpListener, limits: RpcLimits) {
         let sidecar = self.clone();
         let handlers = Handlers {
             forward: Rc::new(move |request| Box::pin(sidecar.clone().handle_request(request))),
             config: Rc::new(|_| None),
         };
-        rpc::serve(listener, handlers, rpc::Shutdown::default()).await;
+        rpc::serve_limited(listener, handlers, rpc::Shutdown::default(), limits).await;
     }
 
     async fn handle_request(self: Rc<Self>, request: ForwardRequest) -> ForwardReply {
--- a/crates/roles/src/gateway/mod.rs
+++ b/crates/roles/src/gateway/mod.rs
@@ -9,14 +9,16 @@
 use crate::node::Node;
 use crate::placer::Placer;
 use compio::net::TcpListener;
+use hibiscusbarrow_adapters::http;
 use hibiscusbarrow_adapters::http::Limits;
 use hibiscusbarrow_adapters::http::Reply;
 use hibiscusbarrow_adapters::http::Request;
-use hibiscusbarrow_adapters::http::serve as serve_http;
+use hibiscusbarrow_adapters::http::serve_limited;
 use hibiscusbarrow_adapters::http::text_reply;
 use hibiscusbarrow_adapters::rpc;
 use hibiscusbarrow_adapters::rpc::ForwardReply;
 use hibiscusbarrow_adapters::rpc::Handlers;
+use hibiscusbarrow_adapters::rpc::RpcLimits;
 use hibiscusbarrow_adapters::rpc::Shutdown;
 use hibiscusbarrow_adapters::signal::Flag;
 use hibiscusbarrow_coordination::membership::Role;
@@ -29,7 +31,15 @@
 use std::time::Duration;
 
 /// The largest request body that a gateway accepts, in bytes.
-const MAX_BODY_BYTES: usize = 16 << 20;
+const MAX_BODY_BYTES: u64 = 16 << 20;
+/// The bytes that a request takes for each byte of its body besides the body: its message to a
+/// sidecar, and an answer of the same size.
+const HANDLING_FACTOR: u64 = 2;
+/// The largest message of a peer, in bytes; peers only ask for the configuration.
+const MAX_PEER_MESSAGE: u64 = 1 << 20;
+/// The beginning of the paths at which callers reach services; the others are for operators and
+/// health checks, which are answered also when callers have taken all connections.
+const SERVICE_PREFIX: &str = "/v1/services/";
 /// How long a stopping gateway keeps accepting requests, so that the load balancer
 /// notices that it is not ready before connections are refused.
 const DRAIN_DELAY: Duration = Duration::from_millis(1500);
@@ -48,8 +58,13 @@
 ///
 /// Returns an error if an address cannot be bound.
 pub async fn run(settings: Settings, logger: Logger, stop: Flag) -> anyhow::Result<()> {
-    let http = TcpListener::bind(settings.http).await?;
-    let peers = TcpListener::bind(settings.peer).await?;
+    let (http_addr, peer_addr) = (settings.http, settings.peer);
+    let largest = Limits {
+        max_body_bytes: MAX_BODY_BYTES as usize,
+        ..Limits::default()
+    };
+    let http = http::bind(http_addr, &largest).await?;
+    let peers = TcpListener::bind(peer_addr).await?;
     let node = Node::start(settings, Role::Gateway, logger, stop.clone()).await?;
     let gateway = Gateway {
         router: Rc::new(Router::new(node.clone())),
@@ -57,18 +72,21 @@
         node: node.clone(),
     };
     let shutdown = Shutdown::default();
-    compio::runtime::spawn(rpc::serve(peers, peer_handlers(&node), shutdown.clone())).detach();
+    let limits = RpcLimits::new(node.limiter.clone(), MAX_PEER_MESSAGE);
+    let serving = rpc::serve_limited(peers, peer_handlers(&node), shutdown.clone(), limits);
+    compio::runtime::spawn(serving).detach();
     compio::runtime::spawn(node.clone().follow_config()).detach();
     compio::runtime::spawn(announce_drain(node.clone())).detach();
     node.log_start();
     let limits = Limits {
-        max_body_bytes: MAX_BODY_BYTES,
+        handling_factor: HANDLING_FACTOR,
+        is_reserved: |path| !path.starts_with(SERVICE_PREFIX),
         drain_delay: DRAIN_DELAY,
-        ..Limits::default()
+        ..node.http_limits(MAX_BODY_BYTES)
     };
     let placer = gateway.placer.clone();
     let handler = move |request| handle_request(gateway.clone(), request);
-    serve_http(http, limits, stop, handler).await;
+    serve_limited(http, node.limiter.clone(), limits, stop, handler).await;
     placer.resign().await;
     node.announce_left().await;
     shutdown.closed.raise();
@@ -97,7 +115,7 @@
 
 async fn handle_request(gateway: Gateway, request: Request) -> Reply {
     let path = request.path.clone();
-    if let Some(target) = path.strip_prefix("/v1/services/") {
+    if let Some(target) = path.strip_prefix(SERVICE_PREFIX) {
         return gateway.router.clone().serve(target, request).await;
     }
     match path.as_str() {
--- a/crates/roles/src/node/mod.rs
+++ b/crates/roles/src/node/mod.rs
@@ -8,9 +8,15 @@
 
 use futures_channel::mpsc;
 use gossip::Command;
+use hibiscusbarrow_adapters::clients::ClientLimiter;
+use hibiscusbarrow_adapters::clients::MachineLimits;
+use hibiscusbarrow_adapters::clients::Shares;
+use hibiscusbarrow_adapters::clients::default_descriptors;
+use hibiscusbarrow_adapters::clients::default_memory;
 use hibiscusbarrow_adapters::gossip::DatagramCodec;
 use hibiscusbarrow_adapters::gossip::GossipSocket;
 use hibiscusbarrow_adapters::http::HttpClient;
+use hibiscusbarrow_adapters::http::Limits;
 use hibiscusbarrow_adapters::log::EventLog;
 use hibiscusbarrow_adapters::metrics::Metrics;
 use hibiscusbarrow_adapters::rpc::RpcClient;
@@ -24,6 +30,7 @@
 use hibiscusbarrow_coordination::membership::Swim;
 use hibiscusbarrow_coordination::membership::SwimTiming;
 use hibiscusbarrow_model::event::Event;
+use hibiscusbarrow_model::settings::BODY_MEMORY_DIVISOR;
 use hibiscusbarrow_model::settings::Settings;
 use hibiscusbarrow_model::state::MemberView;
 use hibiscusbarrow_model::state::SEED_PREFIX;
@@ -50,6 +57,10 @@
     pub log: EventLog,
     /// The counters and gauges that `/metrics` serves.
     pub metrics: Rc<Metrics>,
+    /// The memory and descriptors of the machine.
+    pub machine: MachineLimits,
+    /// The limits that all clients of the process share.
+    pub limiter: ClientLimiter,
     /// The client of the key-value store.
     pub store: Store,
     /// The client for HTTP calls to other processes and the store.
@@ -107,8 +118,18 @@
         };
         let swim = Swim::new(settings.name.clone(), info, timing, incarnation);
         let (sender, receiver) = mpsc::unbounded();
+        let log = EventLog::new(settings.name.clone(), clock.clone(), logger);
+        let machine = machine_limits(&settings);
+        let shares = match role {
+            Role::Gateway => Shares::GATEWAY,
+            _ => Shares::SIDECAR,
+        };
+        let pools = machine.pools(shares);
+        let limiter = ClientLimiter::new(pools, clock.clone(), log.clone(), metrics.clone());
         let node = Rc::new(Self {
-            log: EventLog::new(settings.name.clone(), clock.clone(), logger),
+            log,
+            machine,
+            limiter,
             store: Store::new(http.clone(), settings.store, metrics.clone()),
             clock,
             metrics,
@@ -265,10 +286,37 @@
         }
     }
 
-    /// Logs that the process has started, with its addresses.
+    /// Returns the limits of the HTTP address, for bodies of at most `max_body` bytes unless the
+    /// settings state another size.
+    pub fn http_limits(&self, max_body: u64) -> Limits {
+        let settings = &self.settings.limits;
+        let affordable = self.machine.memory / BODY_MEMORY_DIVISOR;
+        let max_body = settings.max_body_bytes.unwrap_or(max_body).min(affordable);
+        Limits {
+            max_body_bytes: max_body as usize,
+            head_timeout: Duration::from_millis(settings.head_timeout_ms),
+            body_timeout: Duration::from_millis(settings.body_timeout_ms),
+            stall_timeout: Duration::from_millis(settings.stall_timeout_ms),
+            ..Limits::default()
+        }
+    }
+
+    /// Logs that the process has started, with its addresses and limits.
     pub fn log_start(&self) {
         let detail = format!("http {} peer {}", self.settings.http, self.settings.peer);
         self.log
             .emit(Event::Started, self.settings.name.clone(), detail);
+        self.limiter.log_limits();
+    }
+}
+
+/// Returns the memory and descriptors that the settings state, or those of the system.
+fn machine_limits(settings: &Settings) -> MachineLimits {
+    let limits = &settings.limits;
+    let memory = limits.memory_mb.map(|mb| mb * 1_000_000);
+    let descriptors = limits.max_descriptors.map(|count| count as usize);
+    MachineLimits {
+        memory: memory.unwrap_or_else(default_memory),
+        descriptors: descriptors.unwrap_or_else(default_descriptors),
     }
 }
--- a/crates/roles/src/sidecar/mod.rs
+++ b/crates/roles/src/sidecar/mod.rs
@@ -5,15 +5,17 @@
 use crate::node::Node;
 use compio::net::TcpListener;
 use forward::Forwarder;
+use hibiscusbarrow_adapters::http;
 use hibiscusbarrow_adapters::http::Limits;
 use hibiscusbarrow_adapters::http::Reply;
 use hibiscusbarrow_adapters::http::Request;
 use hibiscusbarrow_adapters::http::fault_reply;
 use hibiscusbarrow_adapters::http::json_reply;
-use hibiscusbarrow_adapters::http::serve as serve_http;
+use hibiscusbarrow_adapters::http::serve_limited;
 use hibiscusbarrow_adapters::http::text_reply;
 use hibiscusbarrow_adapters::rpc;
 use hibiscusbarrow_adapters::rpc::Handlers;
+use hibiscusbarrow_adapters::rpc::RpcLimits;
 use hibiscusbarrow_adapters::rpc::Shutdown;
 use hibiscusbarrow_adapters::signal::Flag;
 use hibiscusbarrow_coordination::membership::Role;
@@ -28,6 +30,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// The largest request body that a sidecar accepts from its upstream, in bytes.
+const MAX_BODY_BYTES: u64 = 1 << 20;
+/// The largest message of a peer, in bytes; it carries the body of a caller's request.
+const MAX_PEER_MESSAGE: u64 = 32 << 20;
 /// How often a stopping sidecar checks whether its requests in flight have ended.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// The longest wait for peers to close their connections; one that is frozen or cut off
@@ -41,19 +47,26 @@
 ///
 /// Returns an error if an address cannot be bound.
 pub async fn run(settings: Settings, logger: Logger, stop: Flag) -> anyhow::Result<()> {
-    let http = TcpListener::bind(settings.http).await?;
+    let http = http::bind(settings.http, &Limits::default()).await?;
     let peers = TcpListener::bind(settings.peer).await?;
     let node = Node::start(settings, Role::Sidecar, logger, stop.clone()).await?;
     let forwarder = Rc::new(Forwarder::new(node.clone()));
     let shutdown = Shutdown::default();
     let closed = shutdown.closed.clone();
     let peer_handlers = peer_handlers(&node, &forwarder);
-    compio::runtime::spawn(rpc::serve(peers, peer_handlers, shutdown.clone())).detach();
+    let limits = RpcLimits::new(node.limiter.clone(), MAX_PEER_MESSAGE);
+    let serving = rpc::serve_limited(peers, peer_handlers, shutdown.clone(), limits);
+    compio::runtime::spawn(serving).detach();
     let handler = {
         let (node, forwarder) = (node.clone(), forwarder.clone());
         move |request| handle_request(node.clone(), forwarder.clone(), request)
     };
-    compio::runtime::spawn(serve_http(http, Limits::default(), closed.clone(), handler)).detach();
+    let limits = Limits {
+        is_reserved: |_| true,
+        ..node.http_limits(MAX_BODY_BYTES)
+    };
+    let serving = serve_limited(http, node.limiter.clone(), limits, closed.clone(), handler);
+    compio::runtime::spawn(serving).detach();
     compio::runtime::spawn(forwarder.clone().expire_upstream()).detach();
     node.log_start();
     stop.wait().await;
--- a/crates/roles/tests/cache.rs
+++ b/crates/roles/tests/cache.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use compio::runtime::Runtime;
 use compio::time::sleep;
+use hibiscusbarrow_adapters::clients::MachineLimits;
 use hibiscusbarrow_adapters::log::EventLog;
 use hibiscusbarrow_adapters::metrics::Metrics;
 use hibiscusbarrow_adapters::signal::Flag;
@@ -135,7 +136,7 @@
             heartbeat_addr: None,
             peer_addr: addr,
             metrics_addr: addr,
-            max_connections: 1,
+            limits: MachineLimits::default(),
             shutdown_timeout: Duration::from_secs(1),
             bounds: Bounds::default(),
         },
