Test the budget of clients in drawn histories

Guards against a budget that is exceeded, leaks, closes a connection that has not stalled, or keeps a newcomer waiting while stalled ones could make way.

--- a/crates/coordination/tests/suite/main.rs
+++ b/crates/coordination/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod call_window;
+mod client_budget;
 mod duty_cycle;
 mod fixtures;
 mod gang;
