Wait for connections that may stall before refusing a newcomer

In the first half second of a burst of unfinished bodies, nothing counted as stalled and ordinary newcomers were refused. A newcomer now waits until the next connection counts as stalled; after a wait in vain the next ones are refused at once for a second.

--- a/crates/adapters/src/clients/limits.rs
+++ b/crates/adapters/src/clients/limits.rs
@@ -72,8 +72,8 @@
     };
     /// Those of a sidecar beside an upstream, which receives requests from peers.
     pub const SIDECAR: Self = Self {
-        client_memory: 10,
-        peer_memory: 50,
+        client_memory: 25,
+        peer_memory: 40,
         outgoing: 20,
     };
 }
--- a/crates/adapters/src/clients/mod.rs
+++ b/crates/adapters/src/clients/mod.rs
@@ -13,6 +13,7 @@
 
 use crate::log::EventLog;
 use crate::metrics::Metrics;
+use compio::time::sleep;
 use compio::time::timeout;
 use futures_util::future::AbortHandle;
 use futures_util::future::poll_fn;
@@ -44,8 +45,12 @@
 /// The largest body of a request that counts as small, in bytes.
 pub const SMALL_BODY_BYTES: usize = 64 << 10;
 /// The time without a byte after which a connection may be closed to make room. A client that
-/// sends steadily is never quiet for so long: a lost packet is repeated earlier.
-const STALL_GRACE: Duration = Duration::from_secs(1);
+/// sends steadily is rarely quiet for so long: a lost packet is repeated after 200 ms and a round
+/// trip.
+const STALL_GRACE: Duration = Duration::from_millis(500);
+/// After a wait for a connection that did not make room, others are refused without a wait for
+/// this time, so that clients that send steadily cannot delay all newcomers.
+const NO_WAIT_PERIOD: Duration = Duration::from_secs(1);
 /// The longest wait for connections that are being closed to release what they hold.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// The most lines that are logged for one event within [`LOG_WINDOW`], so that clients cannot
@@ -70,6 +75,8 @@
     /// Woken whenever a connection releases a part of what it holds.
     waiting: RefCell<Vec<Waker>>,
     lines: RefCell<BTreeMap<Event, LogWindow>>,
+    /// Until when newcomers are refused without a wait for connections that may stall.
+    no_wait_until: Cell<Duration>,
     clock: Clock,
     log: EventLog,
     metrics: Rc<Metrics>,
@@ -106,6 +113,7 @@
             open: RefCell::default(),
             waiting: RefCell::default(),
             lines: RefCell::default(),
+            no_wait_until: Cell::default(),
             clock,
             log,
             metrics,
@@ -169,13 +177,18 @@
         addr: SocketAddr,
         abort: AbortHandle,
     ) -> Result<Rc<ClientConnection>, Exhausted> {
-        let opening = poll_fn(|cx| {
-            self.poll_verdict(cx, |budget, now| {
-                budget.open(now, class, addr.ip(), CONNECTION_BYTES)
-            })
-        });
-        let id = timeout(CLOSE_TIMEOUT, opening).await;
-        let id = id.unwrap_or(Err(Exhausted))?;
+        let id = match self.open_at_once(class, addr).await {
+            Ok(id) => id,
+            Err(Exhausted) => {
+                self.wait_for_stall(class).await?;
+                let opened = self.open_at_once(class, addr).await;
+                if opened.is_err() {
+                    let now = self.inner.clock.now();
+                    self.inner.no_wait_until.set(now + NO_WAIT_PERIOD);
+                }
+                opened?
+            }
+        };
         let entry = OpenEntry { abort, addr, class };
         self.inner.open.borrow_mut().insert(id, entry);
         let now = self.inner.clock.now();
@@ -192,6 +205,36 @@
         }))
     }
 
+    async fn open_at_once(
+        &self,
+        class: Class,
+        addr: SocketAddr,
+    ) -> Result<ConnectionId, Exhausted> {
+        let opening = poll_fn(|cx| {
+            self.poll_verdict(cx, |budget, now| {
+                budget.open(now, class, addr.ip(), CONNECTION_BYTES)
+            })
+        });
+        timeout(CLOSE_TIMEOUT, opening)
+            .await
+            .unwrap_or(Err(Exhausted))
+    }
+
+    /// Waits until the next connection of a class counts as stalled, if it stays quiet.
+    ///
+    /// # Errors
+    ///
+    /// Fails if no connection can stall, or if a wait has failed shortly before.
+    async fn wait_for_stall(&self, class: Class) -> Result<(), Exhausted> {
+        let now = self.inner.clock.now();
+        if class == Class::Overflow || now < self.inner.no_wait_until.get() {
+            return Err(Exhausted);
+        }
+        let stall = self.inner.budget.borrow().next_stall(now, class);
+        sleep(stall.ok_or(Exhausted)?.saturating_sub(now)).await;
+        Ok(())
+    }
+
     /// Closes the connection that is idle or stalled for longest, as a descriptor is lacking.
     pub(crate) fn close_one(&self, class: Class) {
         let now = self.inner.clock.now();
--- a/crates/adapters/src/http/server.rs
+++ b/crates/adapters/src/http/server.rs
@@ -15,6 +15,7 @@
 use compio::net::TcpStream;
 use compio::time::timeout;
 use cyper_core::CompioTimer;
+use futures_util::FutureExt;
 use futures_util::future::AbortHandle;
 use futures_util::future::Abortable;
 use futures_util::future::Either;
@@ -524,16 +525,17 @@
         deadline: Duration,
     ) -> Result<Option<Frame<Bytes>>, Refusal> {
         loop {
+            // A part that is there needs no timer; a body of tiny chunks has very many.
+            if let Some(ready) = body.frame().now_or_never() {
+                return ready.transpose().map_err(|_| malformed_body());
+            }
             let stall_end = self.connection.last_read() + self.limits.stall_timeout;
             let wait_end = stall_end.min(deadline);
             let wait = wait_end.saturating_sub(self.connection.now());
             match timeout(wait, body.frame()).await {
                 Ok(None) => return Ok(None),
                 Ok(Some(Ok(frame))) => return Ok(Some(frame)),
-                Ok(Some(Err(_))) => {
-                    let detail = "the request body ended early or is malformed";
-                    return Err(Refusal::new("malformed_body", Code::BadRequest, detail));
-                }
+                Ok(Some(Err(_))) => return Err(malformed_body()),
                 Err(_) => {
                     let now = self.connection.now();
                     let late = "the request body did not arrive in time";
@@ -596,6 +598,11 @@
     }
 }
 
+fn malformed_body() -> Refusal {
+    let detail = "the request body ended early or is malformed";
+    Refusal::new("malformed_body", Code::BadRequest, detail)
+}
+
 fn no_memory(what: &str) -> Refusal {
     let detail = match what {
         "the request body" => "the process has no memory left for the request body",
--- a/crates/coordination/src/client_budget.rs
+++ b/crates/coordination/src/client_budget.rs
@@ -267,6 +267,16 @@
         }
     }
 
+    /// Returns when the next connection of a class will count as stalled, if it stays quiet.
+    pub fn next_stall(&self, now: Duration, class: Class) -> Option<Duration> {
+        let open = self.connections.values().filter(|c| {
+            let may_close = !c.is_closing && c.phase != Phase::Handling;
+            c.class == class && may_close
+        });
+        let stalls = open.map(|c| c.progress + self.stall_grace);
+        stalls.filter(|stall| *stall > now).min()
+    }
+
     /// Chooses the connection of a class to close when the system lacks a descriptor.
     pub fn close_quietest(&mut self, now: Duration, class: Class) -> Option<ConnectionId> {
         let candidates = self.candidates(now, class, None, Lack::Connection);
