--- a/crates/adapters/src/clients/mod.rs
+++ b/crates/adapters/src/clients/mod.rs
@@ -48,6 +48,8 @@
 /// sends steadily is rarely quiet for so long: a lost packet is repeated after 200 ms and a round
 /// trip.
 const STALL_GRACE: Duration = Duration::from_millis(500);
+/// What is added to a wait for a stall, as the timer may end it a little early.
+const STALL_SLACK: Duration = Duration::from_millis(5);
 /// After a wait for a connection that did not make room, others are refused without a wait for
 /// this time, so that clients that send steadily cannot delay all newcomers.
 const NO_WAIT_PERIOD: Duration = Duration::from_secs(1);
@@ -177,18 +179,18 @@
         addr: SocketAddr,
         abort: AbortHandle,
     ) -> Result<Rc<ClientConnection>, Exhausted> {
-        let id = match self.open_at_once(class, addr).await {
-            Ok(id) => id,
-            Err(Exhausted) => {
-                self.wait_for_stall(class).await?;
-                let opened = self.open_at_once(class, addr).await;
-                if opened.is_err() {
-                    let now = self.inner.clock.now();
-                    self.inner.no_wait_until.set(now + NO_WAIT_PERIOD);
-                }
-                opened?
-            }
-        };
+        let mut opened = self.open_at_once(class, addr).await;
+        let now = self.inner.clock.now();
+        let may_wait = class != Class::Overflow && now >= self.inner.no_wait_until.get();
+        let deadline = now + STALL_GRACE + STALL_SLACK;
+        while opened.is_err() && self.wait_for_stall(class, may_wait, deadline).await {
+            opened = self.open_at_once(class, addr).await;
+        }
+        if opened.is_err() && may_wait {
+            let now = self.inner.clock.now();
+            self.inner.no_wait_until.set(now + NO_WAIT_PERIOD);
+        }
+        let id = opened?;
         let entry = OpenEntry { abort, addr, class };
         self.inner.open.borrow_mut().insert(id, entry);
         let now = self.inner.clock.now();
@@ -220,19 +222,21 @@
             .unwrap_or(Err(Exhausted))
     }
 
-    /// Waits until the next connection of a class counts as stalled, if it stays quiet.
-    ///
-    /// # Errors
-    ///
-    /// Fails if no connection can stall, or if a wait has failed shortly before.
-    async fn wait_for_stall(&self, class: Class) -> Result<(), Exhausted> {
+    /// Waits until the next connection of a class makes way, if it stays quiet; returns whether
+    /// that is before the deadline. Without `for_all`, only those that are closing count.
+    async fn wait_for_stall(&self, class: Class, for_all: bool, deadline: Duration) -> bool {
         let now = self.inner.clock.now();
-        if class == Class::Overflow || now < self.inner.no_wait_until.get() {
-            return Err(Exhausted);
-        }
-        let stall = self.inner.budget.borrow().next_stall(now, class);
-        sleep(stall.ok_or(Exhausted)?.saturating_sub(now)).await;
-        Ok(())
+        let budget = self.inner.budget.borrow();
+        let stall = match for_all {
+            true => budget.next_stall(now, class),
+            false => budget.next_closing(now, class),
+        };
+        drop(budget);
+        let Some(stall) = stall.filter(|stall| *stall < deadline) else {
+            return false;
+        };
+        sleep(stall.saturating_sub(now) + STALL_SLACK).await;
+        true
     }
 
     /// Closes the connection that is idle or stalled for longest, as a descriptor is lacking.
@@ -271,11 +275,14 @@
                 continue;
             };
             entry.abort.abort();
+            if phase == Phase::Closing {
+                continue;
+            }
             let cause = match phase {
                 Phase::Idle => "idle",
                 Phase::Head => "stalled_head",
                 Phase::Body => "stalled_body",
-                Phase::Reply | Phase::Handling => "stalled_reply",
+                Phase::Reply | Phase::Handling | Phase::Closing => "stalled_reply",
             };
             let class = entry.class.name();
             let detail = format!("cause={cause} class={class} bytes={held} quiet={quiet:?}");
@@ -389,7 +396,17 @@
     ///
     /// Fails if they do not fit; what the connection holds is then unchanged.
     pub async fn hold(&self, bytes: u64, size: Size) -> Result<(), Exhausted> {
-        Self::wait_for_room(|cx| self.poll_hold(cx, bytes, size)).await
+        let mut held = Self::wait_for_room(|cx| self.poll_hold(cx, bytes, size)).await;
+        if size == Size::Large {
+            return held;
+        }
+        // A small request is worth a short wait for connections that have just gone quiet.
+        let deadline = self.now() + STALL_GRACE + STALL_SLACK;
+        let (limiter, class) = (&self.limiter, self.class);
+        while held.is_err() && limiter.wait_for_stall(class, true, deadline).await {
+            held = Self::wait_for_room(|cx| self.poll_hold(cx, bytes, size)).await;
+        }
+        held
     }
 
     /// Polls for a share until stalled connections have made room, for a bounded time.
@@ -449,11 +466,7 @@
     fn record_read(&self, bytes: usize) {
         let now = self.now();
         self.last_read.set(now);
-        self.limiter
-            .inner
-            .budget
-            .borrow_mut()
-            .record_progress(now, self.id);
+        self.record_progress();
         if !self.has_heads.get() {
             return;
         }
@@ -465,7 +478,8 @@
         }
     }
 
-    fn record_written(&self) {
+    /// Records progress other than a received byte.
+    fn record_progress(&self) {
         let now = self.now();
         let mut budget = self.limiter.inner.budget.borrow_mut();
         budget.record_progress(now, self.id);
--- a/crates/adapters/src/clients/stream.rs
+++ b/crates/adapters/src/clients/stream.rs
@@ -106,7 +106,7 @@
             Poll::Ready(result) => {
                 let count = result.as_ref().map_or(0, written);
                 if count > 0 {
-                    connection.record_written();
+                    connection.record_progress();
                 }
                 self.written += count;
                 if self.written >= MIN_WRITTEN_BYTES {
--- a/crates/adapters/src/http/server.rs
+++ b/crates/adapters/src/http/server.rs
@@ -365,7 +365,7 @@
         return;
     };
     let mut stream = http.into_parts().io;
-    connection.enter(Phase::Reply);
+    connection.enter(Phase::Closing);
     if poll_fn(|cx| hyper::rt::Write::poll_shutdown(Pin::new(&mut stream), cx))
         .await
         .is_ok()
--- a/crates/coordination/src/client_budget.rs
+++ b/crates/coordination/src/client_budget.rs
@@ -12,6 +12,8 @@
 use std::net::Ipv6Addr;
 use std::time::Duration;
 
+/// How long the client of a connection that is being closed may take to receive its answer.
+pub const CLOSING_GRACE: Duration = Duration::from_millis(100);
 /// The number of bits of an IPv6 address that identify a source, as a client may have all
 /// addresses of such a network.
 const V6_SOURCE_BITS: u32 = 64;
@@ -73,6 +75,9 @@
     Handling,
     /// The answer is being sent.
     Reply,
+    /// The answer was sent and the connection is being closed. It makes way after
+    /// [`CLOSING_GRACE`], whatever the client sends, so that the answer can arrive.
+    Closing,
 }
 
 /// Whether a request counts as large; large ones cannot use the reserve for small ones.
@@ -243,7 +248,8 @@
 
     /// Records that a connection has received or sent a byte.
     pub fn record_progress(&mut self, now: Duration, id: ConnectionId) {
-        if let Some(connection) = self.connections.get_mut(&id) {
+        let connection = self.connections.get_mut(&id);
+        if let Some(connection) = connection.filter(|c| c.phase != Phase::Closing) {
             connection.progress = connection.progress.max(now);
         }
     }
@@ -269,14 +275,35 @@
 
     /// Returns when the next connection of a class will count as stalled, if it stays quiet.
     pub fn next_stall(&self, now: Duration, class: Class) -> Option<Duration> {
-        let open = self.connections.values().filter(|c| {
-            let may_close = !c.is_closing && c.phase != Phase::Handling;
-            c.class == class && may_close
-        });
-        let stalls = open.map(|c| c.progress + self.stall_grace);
+        self.next_stall_of(now, class, |c| c.phase != Phase::Handling)
+    }
+
+    /// Returns when the next connection of a class that is being closed will make way.
+    pub fn next_closing(&self, now: Duration, class: Class) -> Option<Duration> {
+        self.next_stall_of(now, class, |c| c.phase == Phase::Closing)
+    }
+
+    fn next_stall_of(
+        &self,
+        now: Duration,
+        class: Class,
+        is_meant: impl Fn(&Connection) -> bool,
+    ) -> Option<Duration> {
+        let open = self.connections.values();
+        let meant = open.filter(|c| c.class == class && !c.is_closing && is_meant(c));
+        let stalls = meant.map(|c| self.stall_time(c));
         stalls.filter(|stall| *stall > now).min()
     }
 
+    /// Returns when a connection counts as stalled, if it stays quiet.
+    fn stall_time(&self, connection: &Connection) -> Duration {
+        let grace = match connection.phase {
+            Phase::Closing => CLOSING_GRACE.min(self.stall_grace),
+            _ => self.stall_grace,
+        };
+        connection.progress + grace
+    }
+
     /// Chooses the connection of a class to close when the system lacks a descriptor.
     pub fn close_quietest(&mut self, now: Duration, class: Class) -> Option<ConnectionId> {
         let candidates = self.candidates(now, class, None, Lack::Connection);
@@ -350,8 +377,8 @@
 
     /// Returns the connections that may be closed, those to close first at the front.
     ///
-    /// If a connection is lacking, idle ones come first. If bytes are lacking, stalled requests
-    /// come first, as idle connections hold almost nothing. Then those of the source that holds
+    /// Those that are closing anyway come first. If a connection is lacking, idle ones come next. If bytes are lacking, stalled requests
+    /// come next, as idle connections hold almost nothing. Then those of the source that holds
     /// most come first, and of one source those that have stalled longest.
     fn candidates(
         &self,
@@ -368,11 +395,15 @@
                     && c.class == class
                     && !c.is_closing
                     && c.phase != Phase::Handling
-                    && now.saturating_sub(c.progress) >= self.stall_grace
+                    && now >= self.stall_time(c)
             })
             .map(|(id, c)| {
-                let is_idle = c.phase == Phase::Idle;
-                let rank = is_idle != (lack == Lack::Connection);
+                let rank = match (c.phase, lack) {
+                    (Phase::Closing, _) => 0,
+                    (Phase::Idle, Lack::Connection) => 1,
+                    (Phase::Idle, Lack::Bytes) => 3,
+                    _ => 2,
+                };
                 let by_source = self.sources.get(&(class, c.source)).copied();
                 let by_source = std::cmp::Reverse(by_source.unwrap_or(0));
                 (rank, by_source, c.source, c.progress, *id)
--- a/crates/coordination/tests/suite/client_budget.rs
+++ b/crates/coordination/tests/suite/client_budget.rs
@@ -1,5 +1,6 @@
 //! Tests of the budget that the clients of a process share.
 
+use hibiscusbarrow_coordination::client_budget::CLOSING_GRACE;
 use hibiscusbarrow_coordination::client_budget::Class;
 use hibiscusbarrow_coordination::client_budget::ClientBudget;
 use hibiscusbarrow_coordination::client_budget::ConnectionId;
@@ -233,7 +234,7 @@
         6 => (index.clone(), 0..1_200u64, any::<bool>())
             .prop_map(|(index, bytes, is_large)| Step::Hold { index, bytes, is_large }),
         2 => index.clone().prop_map(|index| Step::Progress { index }),
-        3 => (index.clone(), 0..5usize).prop_map(|(index, phase)| Step::Enter { index, phase }),
+        3 => (index.clone(), 0..6usize).prop_map(|(index, phase)| Step::Enter { index, phase }),
         2 => Just(Step::CloseNamed),
         2 => index.prop_map(|index| Step::Close { index }),
         3 => (0..3_000u64).prop_map(|millis| Step::Wait { millis }),
@@ -241,12 +242,13 @@
     ]
 }
 
-const PHASES: [Phase; 5] = [
+const PHASES: [Phase; 6] = [
     Phase::Idle,
     Phase::Head,
     Phase::Body,
     Phase::Handling,
     Phase::Reply,
+    Phase::Closing,
 ];
 
 /// What a history is expected to hold, kept by simple addition.
@@ -275,7 +277,11 @@
         for id in ids {
             let connection = &self.open[id];
             assert_ne!(connection.phase, Phase::Handling, "{id:?} is being handled");
-            assert!(now - connection.progress >= GRACE, "{id:?} has not stalled");
+            let grace = match connection.phase {
+                Phase::Closing => CLOSING_GRACE,
+                _ => GRACE,
+            };
+            assert!(now - connection.progress >= grace, "{id:?} has not stalled");
             assert!(self.named.insert(*id), "{id:?} was named twice");
         }
     }
@@ -347,7 +353,10 @@
             Step::Progress { index } => {
                 if let Some(id) = model.pick(index) {
                     budget.record_progress(now, id);
-                    model.open.get_mut(&id).expect("it is open").progress = now;
+                    let connection = model.open.get_mut(&id).expect("it is open");
+                    if connection.phase != Phase::Closing {
+                        connection.progress = now;
+                    }
                 }
             }
             Step::Enter { index, phase } => {
