Read a call's message twice without exceeding the traversal limit

A body of 16 MiB forwarded to a sidecar was refused, as the length was read before the copy. Large bodies of calls are copied to memory maps.

--- a/crates/adapters/src/http/body.rs
+++ b/crates/adapters/src/http/body.rs
@@ -19,7 +19,7 @@
 }
 
 /// A body that is being received.
-pub(super) struct BodyBuffer {
+pub(crate) struct BodyBuffer {
     storage: Storage,
     len: usize,
     /// The length that the body will have at most.
@@ -107,6 +107,20 @@
     }
 }
 
+/// Returns a copy of a body.
+///
+/// # Errors
+///
+/// Fails if the system has no memory.
+pub(crate) fn copy_body(body: &[u8]) -> io::Result<Bytes> {
+    let mut buffer = BodyBuffer::new(body.len());
+    if let Some(capacity) = buffer.next_capacity(body.len()) {
+        buffer.grow(capacity)?;
+    }
+    buffer.extend(body);
+    Ok(buffer.into_bytes())
+}
+
 struct MappedBody {
     map: MmapMut,
     len: usize,
--- a/crates/adapters/src/http/mod.rs
+++ b/crates/adapters/src/http/mod.rs
@@ -1,6 +1,6 @@
 //! HTTP/1.1 through `hyper` on `compio` sockets.
 
-mod body;
+pub(crate) mod body;
 mod client;
 mod server;
 
--- a/crates/adapters/src/rpc/client.rs
+++ b/crates/adapters/src/rpc/client.rs
@@ -4,6 +4,7 @@
 use super::ForwardRequest;
 use super::server::reader_options;
 use crate::clients::LimitedStream;
+use crate::http::body::copy_body;
 use crate::node_capnp::node;
 use crate::signal::Flag;
 use bytes::Bytes;
@@ -271,7 +272,7 @@
         detail: reader.get_detail()?.to_str()?.into(),
         status: reader.get_status(),
         headers,
-        body: Bytes::copy_from_slice(reader.get_body()?),
+        body: copy_body(reader.get_body()?)?,
         replayed: reader.get_repeated(),
         running: reader.get_running(),
         queued: reader.get_queued(),
--- a/crates/adapters/src/rpc/server.rs
+++ b/crates/adapters/src/rpc/server.rs
@@ -7,6 +7,7 @@
 use crate::clients::ClientConnection;
 use crate::clients::ClientLimiter;
 use crate::clients::LimitedStream;
+use crate::http::body::copy_body;
 use crate::node_capnp::node;
 use crate::signal::Flag;
 use bytes::Bytes;
@@ -53,13 +54,24 @@
     pub config: Rc<Config>,
 }
 
-/// Returns the limits under which messages of peers are read.
+/// How often a call reads its message: once for the length of its body, and once to copy it.
+const READS_PER_CALL: usize = 2;
+
+/// Returns the limits under which answers of peers are read.
 pub(super) fn reader_options() -> ReaderOptions {
     let mut options = ReaderOptions::new();
     options.traversal_limit_in_words(Some(MAX_MESSAGE_WORDS));
     options
 }
 
+/// Returns the limits under which calls of peers are read, whose size is limited by
+/// [`RpcLimits::max_message`].
+fn call_reader_options() -> ReaderOptions {
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(READS_PER_CALL * MAX_MESSAGE_WORDS));
+    options
+}
+
 /// The stop of a server in two phases, so that no call is cut off.
 ///
 /// The process that holds it raises [`leaving`](Self::leaving) when a planned stop begins,
@@ -184,7 +196,7 @@
     let stream = LimitedStream::incoming(stream, connection, limits.stall_timeout);
     let (reader, writer) = stream.split();
     let reader = MessageMeter::new(reader, share.clone(), limits);
-    let network = VatNetwork::new(reader, writer, Side::Server, reader_options());
+    let network = VatNetwork::new(reader, writer, Side::Server, call_reader_options());
     let client: node::Client = capnp_rpc::new_client(NodeServer {
         handlers,
         leaving: in_use.0.leaving.clone(),
@@ -278,7 +290,7 @@
         method: text(reader.get_method()?)?,
         path: text(reader.get_path()?)?,
         headers,
-        body: Bytes::copy_from_slice(reader.get_body()?),
+        body: copy_body(reader.get_body()?)?,
         key: text(reader.get_key()?)?,
         outcome_only: reader.get_repeat(),
         incarnation: reader.get_life(),
