--- a/crates/adapters/tests/http_limits.rs
+++ b/crates/adapters/tests/http_limits.rs
@@ -509,6 +509,9 @@
             }
         }
     }
+    if input.is_empty() {
+        input.push(b'G');
+    }
     if rng.random_bool(0.3) {
         for _ in 0..rng.random_range(1..10) {
             let at = rng.random_range(0..input.len());
--- a/crates/adapters/tests/rpc.rs
+++ b/crates/adapters/tests/rpc.rs
@@ -1,21 +1,34 @@
-//! Calls between processes while one of them stops.
+//! Calls between processes: while one of them stops, and within the limits of the server.
 
+use bytes::Bytes;
+use compio::io::AsyncRead;
+use compio::io::AsyncWriteExt;
 use compio::net::TcpListener;
+use compio::net::TcpStream;
 use compio::runtime::Runtime;
 use compio::time::sleep;
 use compio::time::timeout;
+use hibiscusbarrow_adapters::clients::ClientLimiter;
+use hibiscusbarrow_adapters::log;
+use hibiscusbarrow_adapters::log::EventLog;
+use hibiscusbarrow_adapters::metrics::Metrics;
 use hibiscusbarrow_adapters::rpc;
 use hibiscusbarrow_adapters::rpc::ForwardReply;
 use hibiscusbarrow_adapters::rpc::ForwardRequest;
 use hibiscusbarrow_adapters::rpc::Handlers;
 use hibiscusbarrow_adapters::rpc::RpcClient;
 use hibiscusbarrow_adapters::rpc::RpcError;
+use hibiscusbarrow_adapters::rpc::RpcLimits;
 use hibiscusbarrow_adapters::rpc::Shutdown;
 use hibiscusbarrow_adapters::signal::Flag;
+use hibiscusbarrow_coordination::client_budget::Class;
+use hibiscusbarrow_coordination::client_budget::Pool;
+use hibiscusbarrow_coordination::clock::Clock;
 use hibiscusbarrow_model::code::Code;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -193,3 +206,182 @@
         assert_eq!(reply.map(|r| r.code), Ok(Code::Done));
     });
 }
+
+/// A server with limits, whose calls end when the flag is raised and answer with the length of
+/// their body.
+struct LimitedServer {
+    addr: SocketAddr,
+    metrics: Rc<Metrics>,
+    finish: Flag,
+}
+
+impl LimitedServer {
+    async fn start(bytes: u64, connections: usize, max_message: u64) -> Self {
+        let clock = Clock::system();
+        let metrics = Rc::new(Metrics::new().expect("the metrics are valid"));
+        let log = EventLog::new("server", clock.clone(), log::discard());
+        let pool = Pool {
+            bytes,
+            small_reserve: bytes / 4,
+            connections,
+        };
+        let pools = BTreeMap::from([(Class::Peers, pool)]);
+        let limiter = ClientLimiter::new(pools, clock, log, metrics.clone());
+        let limits = RpcLimits {
+            stall_timeout: Duration::from_millis(700),
+            ..RpcLimits::new(limiter, max_message)
+        };
+        let (listener, addr) = listener().await;
+        let finish = Flag::default();
+        let finished = finish.clone();
+        let handlers = Handlers {
+            forward: Rc::new(move |request| {
+                let finished = finished.clone();
+                Box::pin(async move {
+                    finished.wait().await;
+                    ForwardReply::failure(Code::Done, request.body.len().to_string())
+                })
+            }),
+            config: Rc::new(|_| None),
+        };
+        let serving = rpc::serve_limited(listener, handlers, Shutdown::default(), limits);
+        compio::runtime::spawn(serving).detach();
+        Self {
+            addr,
+            metrics,
+            finish,
+        }
+    }
+
+    /// Returns a gauge of the budget of peers.
+    fn level(&self, name: &str) -> u64 {
+        let text = String::from_utf8(self.metrics.render()).expect("the metrics are text");
+        let prefix = format!("client_level{{class=\"peers\",name=\"{name}\"");
+        let line = text.lines().find(|line| line.starts_with(&prefix));
+        let value = line.and_then(|line| line.rsplit(' ').next());
+        value
+            .and_then(|v| v.parse().ok())
+            .expect("the gauge is there")
+    }
+}
+
+fn request(len: usize) -> ForwardRequest {
+    ForwardRequest {
+        body: Bytes::from(vec![b'x'; len]),
+        ..ForwardRequest::default()
+    }
+}
+
+/// Guards against a limit that refuses a caller's largest body, which reads the message twice.
+#[test]
+fn call_with_the_largest_body_is_answered() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let server = LimitedServer::start(51_200_000, 8, 32 << 20).await;
+        server.finish.raise();
+        let client = RpcClient::default();
+
+        for _ in 0..3 {
+            let reply = client.forward(server.addr, &request(16 << 20), WAIT).await;
+
+            let reply = reply.expect("the call is answered");
+            assert_eq!(
+                (reply.code, reply.detail.as_str()),
+                (Code::Done, "16777216")
+            );
+        }
+        wait_until(|| server.level("bytes") < 1 << 20).await;
+    });
+}
+
+/// Guards against calls that hold more memory together than the process has. Those that do not
+/// fit have not run.
+#[test]
+fn call_that_does_not_fit_beside_others_is_refused() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let server = LimitedServer::start(8 << 20, 8, 4 << 20).await;
+        let client = Rc::new(RpcClient::default());
+        let (caller, addr) = (client.clone(), server.addr);
+        let first =
+            compio::runtime::spawn(
+                async move { caller.forward(addr, &request(2 << 20), WAIT).await },
+            );
+        wait_until(|| server.level("bytes") >= 6 << 20).await;
+
+        let second = client.forward(addr, &request(1 << 20), WAIT).await;
+        server.finish.raise();
+
+        let second = second.expect("it is answered");
+        assert_eq!(second.code, Code::Overloaded);
+        assert!(second.code.is_not_run());
+        let first = first.await.expect("the task does not panic");
+        assert_eq!(first.map(|r| r.code), Ok(Code::Done));
+        wait_until(|| server.level("bytes") < 1 << 20).await;
+    });
+}
+
+/// Returns whether the server closes a connection on which `bytes` were sent.
+async fn is_closed_after(addr: SocketAddr, bytes: Vec<u8>) -> bool {
+    let mut stream = TcpStream::connect(addr).await.expect("it connects");
+    let _ = stream.write_all(bytes).await;
+    let read = async {
+        loop {
+            let result = stream.read(Vec::with_capacity(1024)).await;
+            if matches!(result.0, Ok(0) | Err(_)) {
+                return;
+            }
+        }
+    };
+    timeout(WAIT, read).await.is_ok()
+}
+
+/// Guards against peers that hold a connection or memory with a message that never ends, with
+/// one that is too large, or without one.
+#[test]
+fn connection_without_a_whole_message_is_closed() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let server = LimitedServer::start(8 << 20, 8, 1 << 20).await;
+        let words = |words: u32| [0u32.to_le_bytes(), words.to_le_bytes()].concat();
+        let cases = [
+            Vec::new(),
+            words(1)[..5].to_vec(),
+            [words(1_000), vec![0; 100]].concat(),
+            words(u32::MAX),
+            words(1 << 18),
+            vec![0xff; 64],
+        ];
+
+        for case in cases {
+            let shown = format!("{:?}", &case[..case.len().min(16)]);
+            assert!(is_closed_after(server.addr, case).await, "{shown}");
+        }
+
+        wait_until(|| server.level("connections") == 0).await;
+        assert_eq!(server.level("bytes"), 0);
+    });
+}
+
+/// Guards against silent connections that keep peers out.
+#[test]
+fn silent_connections_make_way_for_a_peer() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let server = LimitedServer::start(8 << 20, 4, 1 << 20).await;
+        server.finish.raise();
+        let mut silent = Vec::new();
+        for _ in 0..4 {
+            let stream = TcpStream::connect(server.addr).await;
+            silent.push(stream.expect("it connects"));
+        }
+        wait_until(|| server.level("connections") == 4).await;
+
+        let client = RpcClient::default();
+        let mut reply = client.forward(server.addr, &request(5), WAIT).await;
+        // A caller repeats a call that was not sent; by then the others count as stalled.
+        for _ in 0..3 {
+            if reply.is_err() {
+                reply = client.forward(server.addr, &request(5), WAIT).await;
+            }
+        }
+
+        assert_eq!(reply.map(|r| r.code), Ok(Code::Done));
+    });
+}
--- a/tests/testsuite/commands.rs
+++ b/tests/testsuite/commands.rs
@@ -84,6 +84,22 @@
             "127.0.0.1:3\"",
             "127.0.0.1:3\", \"timing\": { \"hold_ms\": 1000 }",
         ),
+        valid.replace(
+            "127.0.0.1:3\"",
+            "127.0.0.1:3\", \"limits\": { \"memory_mb\": 1 }",
+        ),
+        valid.replace(
+            "127.0.0.1:3\"",
+            "127.0.0.1:3\", \"limits\": { \"max_descriptors\": 1 }",
+        ),
+        valid.replace(
+            "127.0.0.1:3\"",
+            "127.0.0.1:3\", \"limits\": { \"memory_mb\": 64, \"max_body_bytes\": 16777216 }",
+        ),
+        valid.replace(
+            "127.0.0.1:3\"",
+            "127.0.0.1:3\", \"limits\": { \"body_timeout\": 5 }",
+        ),
     ];
 
     let lines: Vec<String> = cases
