Fit a sidecar's retained answers into the memory of its machine

Answers to requests with keys took up to 64 MiB on any machine; they now take a quarter of its memory at most, and the share of the sidecar's HTTP clients is smaller.

--- a/crates/adapters/src/clients/limits.rs
+++ b/crates/adapters/src/clients/limits.rs
@@ -70,9 +70,10 @@
         peer_memory: 20,
         outgoing: 10,
     };
-    /// Those of a sidecar beside an upstream, which receives requests from peers.
+    /// Those of a sidecar beside an upstream, which receives requests from peers, and retains
+    /// answers to requests with keys in another quarter of the memory.
     pub const SIDECAR: Self = Self {
-        client_memory: 25,
+        client_memory: 15,
         peer_memory: 40,
         outgoing: 20,
     };
--- a/crates/roles/src/sidecar/forward.rs
+++ b/crates/roles/src/sidecar/forward.rs
@@ -31,8 +31,11 @@
 const KEY_RETENTION: Duration = Duration::from_secs(2 * 3600);
 /// The largest number of keys whose outcomes are retained.
 const MAX_RETAINED_KEYS: usize = 200_000;
-/// The total size of retained responses, in bytes, at which new keys are refused.
+/// The total size of retained responses, in bytes, at which new keys are refused, on machines
+/// with enough memory.
 const MAX_RETAINED_BYTES: usize = 64 << 20;
+/// Retained responses take this part of the machine's memory at most.
+const RETAINED_MEMORY_DIVISOR: u64 = 4;
 /// The largest response body that is retained, in bytes.
 const MAX_RETAINED_RESPONSE_BYTES: usize = 64 << 10;
 /// The largest response that is accepted from the upstream, in bytes.
@@ -79,10 +82,12 @@
 impl Forwarder {
     /// Creates a forwarder without an upstream.
     pub fn new(node: Rc<Node>) -> Self {
+        let affordable = node.machine.memory / RETAINED_MEMORY_DIVISOR;
+        let max_retained = MAX_RETAINED_BYTES.min(affordable as usize);
         let state = State {
             upstream: None,
             admission: Admission::new(0, MAX_QUEUED_PER_ACCOUNT),
-            gate: KeyGate::new(KEY_RETENTION, MAX_RETAINED_KEYS, MAX_RETAINED_BYTES),
+            gate: KeyGate::new(KEY_RETENTION, MAX_RETAINED_KEYS, max_retained),
             drain: Drain::default(),
             waiters: HashMap::new(),
             joiners: HashMap::new(),
