--- a/crates/roles/tests/cache.rs
+++ b/crates/roles/tests/cache.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use compio::runtime::Runtime;
 use compio::time::sleep;
+use hibiscusbarrow_adapters::clients::MachineLimits;
 use hibiscusbarrow_adapters::log::EventLog;
 use hibiscusbarrow_adapters::metrics::Metrics;
 use hibiscusbarrow_adapters::signal::Flag;
@@ -150,7 +151,7 @@
             heartbeat_addr: None,
             peer_addr: addr,
             metrics_addr: addr,
-            max_connections: 1,
+            limits: MachineLimits::default(),
             shutdown_timeout: Duration::from_secs(1),
             bounds,
         },
