Report a lack of capacity twice a second at most

Whether the domains that are not evacuated hold all guarantees looks at every worker, which a plan of 4,600 workers need not do each time.

--- a/crates/fleet/src/ledger/evacuation.rs
+++ b/crates/fleet/src/ledger/evacuation.rs
@@ -35,6 +35,8 @@
 const MAX_HANDOVER_DIVISOR: u32 = 10;
 /// How long after a takeover no lack of capacity is reported, as workers have yet to answer.
 const REPORT_DELAY: Duration = Duration::from_secs(5);
+/// The time between two computations of what is reported, which look at every worker.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
 
 /// The evacuated failure domains, and what was logged about them.
 #[derive(Debug, Default)]
@@ -44,6 +46,8 @@
     confirmed_at: Option<Duration>,
     /// Whether the log says that nothing starts, as the knowledge is too old.
     is_paused: bool,
+    /// When it was last computed whether capacity lacks.
+    reported_at: Option<Duration>,
     /// Whether the log says that all domains are evacuated.
     is_total: bool,
     /// The guaranteed accelerators that the other domains lack.
@@ -221,9 +225,13 @@
             };
             self.note(decision, "placer", "", detail);
         }
-        if now < self.took_over + REPORT_DELAY {
+        let reported_at = self.evacuation.reported_at;
+        if now < self.took_over + REPORT_DELAY
+            || reported_at.is_some_and(|at| now < at + REPORT_INTERVAL)
+        {
             return;
         }
+        self.evacuation.reported_at = Some(now);
         let (is_total, shortfall) = if self.evacuation.domains.is_empty() {
             (false, 0)
         } else {
