Leave workers on hold out although others are evacuated

A worker that may forget ends was used as soon as the others were evacuated, as it then counted as the only one of its service. Its tasks could run again after their end: of the drawn model, found with PROPTEST_CASES=1000. Now evacuated workers count beside those on hold; if all that remain are on hold, nothing starts until one restarts.

--- a/crates/fleet/src/ledger/fit.rs
+++ b/crates/fleet/src/ledger/fit.rs
@@ -217,11 +217,14 @@
         }
         // A worker without others beside it has to do the work although it may forget ends.
         let max_held = |size: usize| (size * MAX_HELD_PERCENT / 100).max(usize::from(size > 1));
-        let held = self.worst_workers(max_held, |w| {
-            w.announced.as_ref().is_some_and(|a| a.on_hold).then_some(0)
-        });
+        // Evacuated workers count here: a worker that may forget ends, and so have tasks run again
+        // after their end, is not used only because others are evacuated for a time.
+        let is_held = |w: &super::Worker| w.announced.as_ref().is_some_and(|a| a.on_hold);
+        let held = self.worst_workers(|_| true, max_held, |w| is_held(w).then_some(0));
         let max_quarantined = |size: usize| (size * MAX_QUARANTINED_PERCENT / 100).max(1);
-        let quarantined = self.worst_workers(max_quarantined, |w| w.health.quarantines(now));
+        let remains = |w: &super::Worker| !self.is_evacuated(w);
+        let quarantined =
+            self.worst_workers(remains, max_quarantined, |w| w.health.quarantines(now));
         for (sidecar, worker) in &self.workers {
             let (Some(announced), Some(boot)) = (&worker.announced, &worker.boot) else {
                 continue;
@@ -291,16 +294,18 @@
     /// Returns the workers to leave out of those that have a rank, the highest ranks first.
     ///
     /// `limit` says how many may be left out in a service with a number of workers, as the others
-    /// have to do its work.
+    /// have to do its work. Only workers for which `counts` holds are among these. None that is
+    /// evacuated takes up a place.
     fn worst_workers(
         &self,
+        counts: impl Fn(&super::Worker) -> bool,
         limit: impl Fn(usize) -> usize,
         rank: impl Fn(&super::Worker) -> Option<u32>,
     ) -> HashSet<&str> {
         let mut sizes: HashMap<SmolStr, usize> = HashMap::new();
         // A new placer has yet to hear from most workers; they may be of any service.
         let mut unheard = 0;
-        for worker in self.workers.values().filter(|w| !self.is_evacuated(w)) {
+        for worker in self.workers.values().filter(|w| counts(w)) {
             match &worker.announced {
                 Some(announced) => *sizes.entry(announced.service.clone()).or_default() += 1,
                 None => unheard += 1,
