Give the probed settings of a cluster distinct addresses, and run the tests of clients

Cause: the fixture asked whether the program accepts a section of limits with settings that gave three addresses the same port. These are always refused, so that the tests of the product's processes ran without the section and five of them failed under limits of a larger machine. Clients and bounds are as before.

--- a/tests/testsuite/cluster.rs
+++ b/tests/testsuite/cluster.rs
@@ -237,10 +237,11 @@
 
     /// Returns whether the program accepts settings with a section `limits`.
     fn accepts_limits(&self, limits: &Value) -> bool {
-        let addr = SocketAddr::from((self.ip, BASE_PORT));
+        let addr = |offset| SocketAddr::from((self.ip, BASE_PORT + offset));
         let settings = json!({
-            "name": "probe", "region": "quebec", "domain": "qc-montreal", "http": addr,
-            "peer": addr, "store": addr, "secret": "a secret for tests only", "limits": limits,
+            "name": "probe", "region": "quebec", "domain": "qc-montreal", "http": addr(0),
+            "peer": addr(1), "store": addr(2), "secret": "a secret for tests only",
+            "limits": limits,
         });
         let path = self.write_file("probe.jsonc", &settings.to_string());
         let output = self.run_program(&["check", "--settings", &path]);
