Confirm evacuations soon after a failed call, by the placer alone

Cause, found in review: one call that timed out after 1.1 s marked the store as down, so that the gateway refused all callers; the next watch confirmed the knowledge only after its full wait, when it was too old for starts; standbys watched 2.5 times a second without need; and a listing that was overtaken set the sidecar's estimate of its worker's clock back.

Change: a failure of this feed marks no outage and the next watch does not wait; only the placer follows the feed, a new one lists it first; the clock of an incarnation does not go back; the wait is at least 50 ms for short bounds. Left as it is: a start refused as late still pauses its worker for 300 ms, as the placer would otherwise plan it again at once.

Measured: the three new tests fail on the code before and pass now.

--- a/crates/fleet/src/start_limit.rs
+++ b/crates/fleet/src/start_limit.rs
@@ -22,6 +22,14 @@
     at: Duration,
 }
 
+impl Reading {
+    /// Returns the clock at a later time if it keeps pace with the sidecar's.
+    fn clock_at(&self, now: Duration) -> u64 {
+        let passed = now.saturating_sub(self.at);
+        self.clock.saturating_add(passed.as_millis() as u64)
+    }
+}
+
 /// What a sidecar knows of its worker's clock.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct WorkerClock {
@@ -29,11 +37,14 @@
 }
 
 impl WorkerClock {
-    /// Reads the clock from a listing that arrived at `now`.
+    /// Reads the clock from a listing that arrived at `now`. The clock of an incarnation does not
+    /// go back, as answers can overtake each other.
     pub fn read(&mut self, listing: &Listing, now: Duration) {
+        let known = self.newest.filter(|r| r.born == listing.born);
+        let least = known.map_or(0, |r| r.clock_at(now));
         self.newest = Some(Reading {
             born: listing.born,
-            clock: listing.clock,
+            clock: listing.clock.max(least),
             at: now,
         });
     }
@@ -50,8 +61,8 @@
         let Some(reading) = self.newest.filter(|r| r.born == born) else {
             return true;
         };
-        let passed = now.saturating_sub(reading.at) * (100 + CLOCK_DRIFT_PERCENT) / 100;
-        let clock = reading.clock.saturating_add(passed.as_millis() as u64);
+        let fast = now.saturating_sub(reading.at) * CLOCK_DRIFT_PERCENT / 100;
+        let clock = reading.clock_at(now + fast);
         clock > latest
     }
 }
--- a/crates/fleet/tests/suite/start_limit.rs
+++ b/crates/fleet/tests/suite/start_limit.rs
@@ -94,3 +94,21 @@
     assert_eq!(without.get("latest"), None);
     assert_eq!(decoded, start(None));
 }
+
+/// An answer that was overtaken by a newer one would set the clock back, and let a start through
+/// too late.
+#[test]
+fn late_listing_does_not_set_the_clock_back() {
+    let read_at = Duration::from_secs(50);
+    let mut known = clock(10_000, read_at);
+    let overtaken = Listing {
+        born: BORN,
+        clock: 9_000,
+        ..Listing::default()
+    };
+
+    known.read(&overtaken, read_at + Duration::from_millis(500));
+
+    let now = read_at + Duration::from_millis(600);
+    assert!(known.is_too_late(&start(Some(10_500)), BORN, now));
+}
--- a/crates/roles/src/fleet/cache/follow.rs
+++ b/crates/roles/src/fleet/cache/follow.rs
@@ -22,8 +22,10 @@
 const EVACUATION_WATCH_WAIT: Duration = Duration::from_millis(400);
 /// The largest share of the bound of evacuations that such a watch waits, as a divisor.
 const MAX_WATCH_DIVISOR: u32 = 12;
+/// The shortest wait of such a watch, so that a short bound does not make it call without a pause.
+const MIN_EVACUATION_WAIT: Duration = Duration::from_millis(50);
 /// The delay before the evacuated domains are listed again because the store has dropped its
-/// history. Only the placer and its standbys list them, and they are few.
+/// history. Only the placer lists them, and they are few.
 const EVACUATION_RESYNC_DELAY: Duration = Duration::from_millis(40);
 /// The pause between two watches of everything, which collects the changes of that time in one
 /// answer. Gateways notify the placer of new jobs without the watch.
@@ -59,6 +61,11 @@
     wait: Duration,
     /// The mean delay before the keys are listed again after a loss of history.
     resync_delay: Duration,
+    /// Whether a failed call shows that the store is down. A watch with a short timeout may fail
+    /// although the store only is slow.
+    is_critical: bool,
+    /// Whether the last call failed. The next watch then does not wait for a change.
+    has_failed: Cell<bool>,
 }
 
 impl Feed {
@@ -69,7 +76,11 @@
     /// Creates the feed of the evacuated failure domains, which must be known within a bound.
     pub(super) fn of_evacuations(prefix: SmolStr, bound: Duration) -> Rc<Self> {
         let wait = EVACUATION_WATCH_WAIT.min(bound / MAX_WATCH_DIVISOR);
-        Rc::new(Self::with_times(prefix, wait, EVACUATION_RESYNC_DELAY))
+        let wait = wait.max(MIN_EVACUATION_WAIT);
+        Rc::new(Self {
+            is_critical: false,
+            ..Self::with_times(prefix, wait, EVACUATION_RESYNC_DELAY)
+        })
     }
 
     fn with_times(prefix: SmolStr, wait: Duration, resync_delay: Duration) -> Self {
@@ -80,6 +91,8 @@
             confirmed_at: Cell::new(None),
             wait,
             resync_delay,
+            is_critical: true,
+            has_failed: Cell::new(false),
         }
     }
 
@@ -170,15 +183,16 @@
     }
 }
 
-/// Keeps the evacuated failure domains current while this gateway is the placer or a standby.
+/// Keeps the evacuated failure domains current while this gateway is the placer. A standby that
+/// becomes the placer lists them first, which takes one call.
 async fn follow_evacuations(shared: Rc<Shared>, cache: Rc<StoreCache>, feed: Rc<Feed>) {
     loop {
-        if cache.follows_records() {
+        if cache.placing.get() {
             advance(&shared, &cache, &feed).await;
         } else {
             feed.synced.set(false);
             feed.confirmed_at.set(None);
-            sleep(IDLE_INTERVAL).await;
+            sleep(DOWN_CHECK_INTERVAL).await;
         }
     }
 }
@@ -192,7 +206,10 @@
         cache.resync(shared, feed).await
     };
     match result {
-        Ok(()) => feed.confirmed_at.set(Some(sent)),
+        Ok(()) => {
+            feed.has_failed.set(false);
+            feed.confirmed_at.set(Some(sent));
+        }
         Err(StoreError::Compacted) => {
             let detail = format!(
                 "prefix={:?} after={} the store no longer has this history; listing it again",
@@ -204,7 +221,10 @@
             sleep(feed.resync_delay.mul_f64(rand::random_range(0.5..1.5))).await;
         }
         Err(e) => {
-            cache.handle_store_failure(shared, &e.to_string());
+            feed.has_failed.set(true);
+            if feed.is_critical {
+                cache.handle_store_failure(shared, &e.to_string());
+            }
             sleep(RETRY_DELAY).await;
             // One probe for all feeds finds out when the store is back.
             while cache.is_store_down() {
@@ -216,7 +236,13 @@
 
 /// Waits for changes once and applies them.
 async fn watch_once(shared: &Shared, cache: &StoreCache, feed: &Feed) -> Result<(), StoreError> {
-    let page = (shared.store.watch)((feed.prefix.clone(), feed.revision.get(), feed.wait)).await?;
+    let confirms_at_once = feed.has_failed.get() && !feed.is_critical;
+    let wait = if confirms_at_once {
+        Duration::ZERO
+    } else {
+        feed.wait
+    };
+    let page = (shared.store.watch)((feed.prefix.clone(), feed.revision.get(), wait)).await?;
     for item in page.items {
         cache.apply(shared, item);
     }
--- a/crates/roles/src/fleet/cache/mod.rs
+++ b/crates/roles/src/fleet/cache/mod.rs
@@ -88,7 +88,7 @@
     placing: Cell<bool>,
     /// The feed of all keys.
     everything: Rc<Feed>,
-    /// The feed of the evacuated failure domains, if there are any; of the placer and the standbys.
+    /// The feed of the evacuated failure domains, if they can be requested; the placer follows it.
     evacuations: Option<Rc<Feed>>,
     evacuated: RefCell<Rc<BTreeSet<SmolStr>>>,
     /// The feeds of the directory: the manifest, the gateways and the placer.
--- a/crates/roles/tests/cache.rs
+++ b/crates/roles/tests/cache.rs
@@ -42,6 +42,8 @@
     pages: Cell<usize>,
     /// The prefix and the longest wait of each watch.
     waits: RefCell<Vec<(SmolStr, Duration)>>,
+    /// The number of watches of evacuations that fail next.
+    failures: Cell<usize>,
 }
 
 impl FakeStore {
@@ -98,6 +100,10 @@
     async fn watch(self: Rc<Self>, prefix: SmolStr, after: u64) -> Result<Page, StoreError> {
         let pages = self.pages.get();
         sleep(Duration::from_millis(20)).await;
+        if prefix == EVACUATIONS && self.failures.get() > 0 {
+            self.failures.set(self.failures.get() - 1);
+            return Err(StoreError::Unknown("the call timed out".into()));
+        }
         while after < self.compacted.get() && !prefix.is_empty() && self.pages.get() == pages {
             sleep(Duration::from_millis(5)).await;
         }
@@ -202,8 +208,8 @@
 /// The prefix of requests to evacuate a failure domain.
 const EVACUATIONS: &str = "op/evacuate/";
 
-/// Starts the cache of a gateway that is registered alone and follows the evacuated domains, with a
-/// bound of 5 s.
+/// Starts the cache of a gateway that is registered alone, is the placer and follows the evacuated
+/// domains, with a bound of 5 s.
 fn start_with_evacuations(fake: &Rc<FakeStore>) -> (Rc<Shared>, Rc<StoreCache>) {
     fake.put(&format!("{GATEWAYS}gateway"), "127.0.0.1:1 1000 a");
     let bounds = Bounds {
@@ -214,6 +220,7 @@
     let prefix = Some(EVACUATIONS.into());
     let cache = StoreCache::new(&shared.settings, "manifest".into(), prefix);
     let cache = Rc::new(cache);
+    cache.set_placing(true);
     compio::runtime::spawn(follow(shared.clone(), cache.clone())).detach();
     (shared, cache)
 }
@@ -313,6 +320,46 @@
     });
 }
 
+/// A watch of evacuations that times out would make the gateway refuse all callers, and the next one
+/// would confirm the knowledge only after its full wait.
+#[test]
+fn failed_watch_of_evacuations_is_repeated_at_once_and_marks_no_outage() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let fake = Rc::new(FakeStore::default());
+        let (_, cache) = start_with_evacuations(&fake);
+        wait_for("the requests", || evacuated(&cache).is_some()).await;
+
+        fake.failures.set(1);
+        wait_for("a failure", || fake.failures.get() == 0).await;
+        fake.waits.borrow_mut().clear();
+        let of_evacuations = |(prefix, _): &&(SmolStr, Duration)| prefix == EVACUATIONS;
+        wait_for("the next watch", || {
+            fake.waits.borrow().iter().any(|w| of_evacuations(&w))
+        })
+        .await;
+
+        let waits = fake.waits.borrow();
+        let next = waits.iter().find(of_evacuations);
+        assert_eq!(next.map(|(_, wait)| *wait), Some(Duration::ZERO));
+        assert!(!cache.is_store_down());
+    });
+}
+
+/// Watches of standbys would only cost calls: a standby lists the requests when it becomes the placer.
+#[test]
+fn standby_does_not_watch_evacuations() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let fake = Rc::new(FakeStore::default());
+        let (shared, cache) = start_with_evacuations(&fake);
+        cache.set_placing(false);
+
+        wait_for("records", || cache.has_fresh_records(shared.clock.now())).await;
+        sleep(Duration::from_millis(100)).await;
+
+        assert_eq!(evacuated(&cache), None);
+    });
+}
+
 /// A deployment without the bound makes the calls of before.
 #[test]
 fn without_a_bound_no_call_asks_for_evacuations() {
