Keep evacuated failure domains out of placement decisions

The workers of an evacuated domain count as no capacity: no borrower, claim or reservation goes there, guarantees bound there are bound elsewhere, and gangs that hold cells there go on. Kept bindings were weighed: they would leave the unclaimed rest of a guaranteed shape out of reach.

--- a/crates/adapters/src/store/mod.rs
+++ b/crates/adapters/src/store/mod.rs
@@ -64,12 +64,16 @@
 
     /// Reads all keys that begin with a prefix.
     pub async fn list(&self, prefix: &str) -> Result<Vec<KeyValue>, StoreError> {
+        Ok(self.list_at(prefix).await?.kvs)
+    }
+
+    /// Reads all keys that begin with a prefix, with the revision of the store.
+    pub async fn list_at(&self, prefix: &str) -> Result<RangeResponse, StoreError> {
         let request = RangeRequest {
             key: encode(prefix),
             range_end: encode_bytes(&prefix_end(prefix)),
         };
-        let reply: RangeResponse = self.call("range", "/v3/kv/range", &request).await?;
-        Ok(reply.kvs)
+        self.call("range", "/v3/kv/range", &request).await
     }
 
     /// Runs a transaction.
--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -49,6 +49,8 @@
     QuotaShrinks = 201, 409, "The file would reduce a guarantee of an account.";
     QuotaUnfit = 202, 409, "The guarantees of the file do not fit on the hardware.";
     Conflict = 203, 409, "Another operator's configuration was accepted since the base generation.";
+    UnknownDomain = 204, 404, "The region has no worker and no upstream in this failure domain.";
+    LastDomain = 205, 409, "The evacuation would leave no failure domain of the region.";
     JobNeverFits = 301, 422, "The job can never run on the healthy hardware of the region.";
     JobUnknown = 302, 404, "No job has this identifier.";
     NotAccepted = 303, 503, "The job was not accepted and is not stored.";
--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -84,6 +84,11 @@
     StrayBlocked = 1708, "A start for a former life of a worker, which got no answer, was blocked in the present one.";
     WorkerHeld = 1709, "A worker may forget ends that nobody has seen; it is left out until it starts again, if enough others remain.";
     EndsKept = 1710, "A sidecar answers a poll with the last ends of a worker that drained and no longer answers.";
+    EvacuationBegan = 1720, "An operator requested the evacuation of a failure domain.";
+    EvacuationEnded = 1721, "An operator cancelled the evacuation of a failure domain.";
+    EvacuationApplied = 1722, "A new set of evacuated failure domains took effect in this process.";
+    GuaranteesShort = 1723, "The workers outside evacuated failure domains cannot hold all guarantees.";
+    EvacuationsStale = 1724, "The set of evacuated failure domains is too old; no gang is started.";
     StoreDown = 1801, "The key-value service stopped answering.";
     StoreBack = 1802, "The key-value service answers again.";
     MirrorReset = 1803, "The store no longer has the history needed; its content is read again.";
--- a/crates/model/src/state.rs
+++ b/crates/model/src/state.rs
@@ -5,6 +5,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 /// The prefix of all keys of hibiscusbarrow.
@@ -23,6 +25,8 @@
 pub const CLAIM_PREFIX: &str = "/hibiscusbarrow/claims/";
 /// The prefix of the addresses of initial gossip peers, followed by the process name.
 pub const SEED_PREFIX: &str = "/hibiscusbarrow/seeds/";
+/// The prefix of the [`Evacuations`] of the regions, followed by the region.
+pub const EVACUATION_PREFIX: &str = "/hibiscusbarrow/evacuations/";
 /// The largest part of a configuration, in bytes.
 pub const MAX_PART_BYTES: usize = 512 << 10;
 
@@ -72,6 +76,59 @@
     pub at: u64,
 }
 
+/// The evacuated failure domains of a region, stored under one key.
+///
+/// One key holds them all, so that two requests made at once cannot evacuate the last domain.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Evacuations {
+    /// The names of the domains.
+    pub domains: BTreeSet<SmolStr>,
+}
+
+/// What a process knows of all evacuations, as it answers operators and peers.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EvacuationsView {
+    /// How long ago the key-value service confirmed the set, in milliseconds; absent if never.
+    #[serde(default)]
+    pub age_ms: Option<u64>,
+    /// The evacuated domains of each region that ever had one.
+    #[serde(default)]
+    pub regions: BTreeMap<SmolStr, RegionEvacuations>,
+}
+
+/// The evacuated failure domains of one region at a revision of its key.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RegionEvacuations {
+    /// The store revision at which the key was written; a higher one replaces a lower one.
+    pub revision: i64,
+    /// The names of the domains.
+    pub domains: BTreeSet<SmolStr>,
+}
+
+/// The answer to the request or the cancellation of an evacuation.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct EvacuationReply {
+    /// The region of the gateway that answers.
+    pub region: SmolStr,
+    /// The failure domain that the request is about.
+    pub domain: SmolStr,
+    /// Whether the domain is evacuated now.
+    pub evacuated: bool,
+    /// Whether the request changed that.
+    pub changed: bool,
+    /// The evacuated domains of the region.
+    pub domains: BTreeSet<SmolStr>,
+    /// The gateways that have not confirmed the new set yet.
+    pub pending: Vec<SmolStr>,
+}
+
+/// The location of a process, as it answers peers at `/v1/location`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ProcessLocation {
+    /// The failure domain of the process.
+    pub domain: SmolStr,
+}
+
 /// A request to a gateway to accept a configuration.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ApplyRequest {
@@ -107,6 +164,9 @@
     pub members: Vec<MemberView>,
     /// The state of placement, if the process holds the placer lease.
     pub placer: Option<PlacerView>,
+    /// The evacuations that the process knows.
+    #[serde(default)]
+    pub evacuations: EvacuationsView,
 }
 
 /// One cluster member, as another process knows it.
@@ -141,6 +201,9 @@
     pub shortfall: Vec<ShapeCount>,
     /// The jobs that have not ended.
     pub jobs: Vec<JobView>,
+    /// The failure domains of all workers, each with its number of workers that report.
+    #[serde(default)]
+    pub domains: BTreeMap<SmolStr, usize>,
 }
 
 /// The message by which an upstream registers with its sidecar.
--- a/crates/placement/src/grid.rs
+++ b/crates/placement/src/grid.rs
@@ -63,6 +63,8 @@
     up: bool,
     /// Whether the worker is quarantined and therefore closed to borrowers.
     quarantined: bool,
+    /// Whether the worker's failure domain is evacuated, which closes it to all new work.
+    evacuated: bool,
     /// Accelerators inside cells to which a guaranteed shape is bound.
     bound: u8,
     /// Accelerators that a guaranteed job claims.
@@ -80,8 +82,16 @@
         ((1u16 << self.spec.accelerators) - 1) as u8
     }
 
+    /// Accelerators on which work may be placed.
+    fn usable(&self) -> u8 {
+        if self.evacuated {
+            return 0;
+        }
+        self.present()
+    }
+
     fn unbound(&self) -> u8 {
-        self.present() & !self.bound
+        self.usable() & !self.bound
     }
 
     /// Accelerators that a borrower may use.
@@ -89,7 +99,7 @@
         if self.quarantined {
             return 0;
         }
-        self.present() & !self.used & !self.claimed
+        self.usable() & !self.used & !self.claimed
     }
 }
 
@@ -100,9 +110,9 @@
     names: HashMap<SmolStr, WorkerKey>,
     racks: HashMap<SmolStr, u32>,
     domains: HashMap<SmolStr, u32>,
-    /// Maximal cells outside every binding, over workers that are up.
+    /// Maximal cells outside every binding, over workers that are up and not evacuated.
     unbound: CellCounts,
-    /// Maximal cells over workers that are up, bound or not.
+    /// Maximal cells over workers that are up and not evacuated, bound or not.
     total: CellCounts,
     idle: u32,
 }
@@ -125,6 +135,7 @@
             domain,
             up: false,
             quarantined: false,
+            evacuated: false,
             bound: 0,
             claimed: 0,
             used: 0,
@@ -173,12 +184,31 @@
         self.update(key, |node| node.quarantined = quarantined);
     }
 
+    /// Starts or ends the evacuation of a worker.
+    ///
+    /// An evacuated worker loses its bindings and claims and counts as no capacity; physical
+    /// users stay until they are released.
+    pub(crate) fn set_evacuated(&mut self, key: WorkerKey, evacuated: bool) {
+        self.update(key, |node| {
+            node.evacuated = evacuated;
+            if evacuated {
+                node.bound = 0;
+                node.claimed = 0;
+            }
+        });
+    }
+
+    /// Returns whether the failure domain of a worker is evacuated.
+    pub fn is_evacuated(&self, key: WorkerKey) -> bool {
+        self.nodes[key.0 as usize].evacuated
+    }
+
     /// Returns the maximal cells outside every binding.
     pub fn unbound(&self) -> &CellCounts {
         &self.unbound
     }
 
-    /// Returns the maximal cells of all workers in service.
+    /// Returns the maximal cells of all workers in service that are not evacuated.
     pub fn total(&self) -> &CellCounts {
         &self.total
     }
@@ -218,6 +248,11 @@
         self.nodes[key.0 as usize].present()
     }
 
+    /// Returns the mask of accelerators in service on which work may be placed.
+    pub fn usable_mask(&self, key: WorkerKey) -> u8 {
+        self.nodes[key.0 as usize].usable()
+    }
+
     /// Returns the rack and the failure domain of a worker, numbered from zero.
     pub fn location(&self, key: WorkerKey) -> (u32, u32) {
         let node = &self.nodes[key.0 as usize];
@@ -285,11 +320,11 @@
     fn update(&mut self, key: WorkerKey, edit: impl FnOnce(&mut Node)) {
         let node = &mut self.nodes[key.0 as usize];
         self.unbound.sub_all(&CellCounts::of_mask(node.unbound()));
-        self.total.sub_all(&CellCounts::of_mask(node.present()));
+        self.total.sub_all(&CellCounts::of_mask(node.usable()));
         self.idle -= node.idle().count_ones();
         edit(node);
         self.unbound.add_all(&CellCounts::of_mask(node.unbound()));
-        self.total.add_all(&CellCounts::of_mask(node.present()));
+        self.total.add_all(&CellCounts::of_mask(node.usable()));
         self.idle += node.idle().count_ones();
     }
 }
--- a/crates/placement/src/scheduler/mod.rs
+++ b/crates/placement/src/scheduler/mod.rs
@@ -1,5 +1,6 @@
 //! Queues jobs, places whole gangs and preempts borrowers for guaranteed jobs.
 
+mod evacuate;
 mod fit;
 mod health;
 mod pass;
@@ -231,6 +232,8 @@
     estimator: Estimator,
     health: Health,
     reservation: Option<Reservation>,
+    /// The evacuated failure domains.
+    evacuated: BTreeSet<SmolStr>,
     next_serial: u64,
 }
 
@@ -251,6 +254,7 @@
             estimator: Estimator::default(),
             health: Health::default(),
             reservation: None,
+            evacuated: BTreeSet::new(),
             next_serial: 0,
         }
     }
@@ -317,6 +321,8 @@
     pub fn add_worker(&mut self, spec: WorkerSpec) -> WorkerKey {
         let key = self.grid.add(spec);
         self.grid.set_up(key, true);
+        let evacuated = self.evacuated.contains(&self.grid.spec(key).domain);
+        self.grid.set_evacuated(key, evacuated);
         self.unpark();
         key
     }
@@ -373,14 +379,10 @@
         let slot = self.jobs[key.0 as usize].as_mut();
         let job = slot.expect("the job was just submitted");
         let (index, cells) = (job.account_index, job.cells.clone());
-        let guaranteed = self.quotas.adopt(&mut self.grid, index, &cells);
-        job.guaranteed = guaranteed;
-        if guaranteed {
-            job.claims = cells.clone();
-        }
         job.state = JobState::Placed;
         job.started_at = now;
         self.usage[index] += job.accelerators();
+        self.adopt_claims(key);
         for cell in cells {
             self.grid.occupy(cell, key);
         }
@@ -450,8 +452,14 @@
         let other = self.reservation.as_ref().filter(|r| r.job != key);
         let holder = other.and_then(|r| self.job(r.job)).map(|j| j.name.clone());
         let reserved = holder.map_or(String::new(), |n| format!("; cells are reserved for {n}"));
+        let evacuated = if self.evacuated.is_empty() {
+            String::new()
+        } else {
+            let domains: Vec<&str> = self.evacuated.iter().map(SmolStr::as_str).collect();
+            format!("; evacuated: {}", domains.join(", "))
+        };
         format!(
-            "{coverage}; {} of {} needed accelerators are idle{reserved}",
+            "{coverage}; {} of {} needed accelerators are idle{reserved}{evacuated}",
             self.grid.idle(),
             job.accelerators()
         )
--- a/crates/placement/src/scheduler/reserve.rs
+++ b/crates/placement/src/scheduler/reserve.rs
@@ -31,7 +31,7 @@
 
 impl Scheduler {
     /// Reserves cells for the oldest overdue gang, unless the job of the current
-    /// reservation still waits and its cells are in service and unclaimed.
+    /// reservation still waits and its cells are usable and unclaimed.
     pub(super) fn update_reservation(&mut self, now: Duration) {
         let Some(after) = self.policy.reserve_after else {
             return;
@@ -41,7 +41,7 @@
                 .job(reservation.job)
                 .is_some_and(|j| j.state == JobState::Waiting);
             let serves = reservation.cells.iter().all(|c| {
-                self.grid.present_mask(c.worker) & !self.grid.claimed_mask(c.worker) & c.mask
+                self.grid.usable_mask(c.worker) & !self.grid.claimed_mask(c.worker) & c.mask
                     == c.mask
             });
             if waiting && serves {
@@ -70,7 +70,7 @@
         let job = self.job(key)?;
         let mut cells = Vec::new();
         for worker in self.grid.workers() {
-            let unclaimed = self.grid.present_mask(worker) & !self.grid.claimed_mask(worker);
+            let unclaimed = self.grid.usable_mask(worker) & !self.grid.claimed_mask(worker);
             for mask in job.shape.masks().filter(|m| unclaimed & m == *m) {
                 let in_use = (self.grid.used_mask(worker) & mask).count_ones();
                 let (rack, domain) = self.grid.location(worker);
