Follow evacuations in gateways, sidecars and the placer

The set of a region is one key of the store, so that two requests made at once cannot evacuate the last domain. Every gateway reads it at the poll interval; the gateway that stored a change sends it to the others before it answers, and one that cannot read the store asks others. Failure domains of sidecars are asked for once instead of being added to gossip messages, whose format has no room for new fields.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod clock;
 pub mod drain;
 pub mod duty_cycle;
+pub mod evacuation;
 pub mod fence;
 pub mod gang;
 pub mod generation;
--- a/crates/coordination/tests/suite/main.rs
+++ b/crates/coordination/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod call_window;
 mod duty_cycle;
+mod evacuation;
 mod fixtures;
 mod gang;
 mod keyed;
--- a/crates/roles/src/gateway/operator.rs
+++ b/crates/roles/src/gateway/operator.rs
@@ -9,6 +9,7 @@
 use hibiscusbarrow_model::code::Fault;
 use hibiscusbarrow_model::job::JobSpec;
 use hibiscusbarrow_model::state::ApplyRequest;
+use hibiscusbarrow_model::state::EvacuationsView;
 use hibiscusbarrow_model::state::Status;
 use serde::Serialize;
 
@@ -23,7 +24,22 @@
                 _ => unknown_operation(&request),
             };
         }
+        if let Some(domain) = path.strip_prefix("/v1/evacuations/") {
+            return match request.method.as_str() {
+                "PUT" => to_reply(self.evacuate(domain).await),
+                "DELETE" => to_reply(self.end_evacuation(domain).await),
+                _ => unknown_operation(&request),
+            };
+        }
         match (request.method.as_str(), path.as_str()) {
+            ("GET", "/v1/evacuations") => json_reply(200, &self.node.evacuations_view()),
+            ("POST", "/v1/evacuations") => match request.json::<EvacuationsView>() {
+                Ok(view) => {
+                    self.node.merge_evacuations(view);
+                    json_reply(200, &self.node.evacuations_view())
+                }
+                Err(fault) => fault_reply(&fault),
+            },
             ("POST", "/v1/config") => match request.json::<ApplyRequest>() {
                 Ok(apply) => to_reply(self.apply(apply).await),
                 Err(fault) => fault_reply(&fault),
@@ -47,6 +63,7 @@
             generation: self.node.generation(),
             members: self.node.member_views(),
             placer: self.placer.view().await,
+            evacuations: self.node.evacuations_view(),
         }
     }
 }
--- a/crates/roles/src/gateway/route.rs
+++ b/crates/roles/src/gateway/route.rs
@@ -106,8 +106,8 @@
         let id = self.node.next_id();
         let account: SmolStr = request.header("x-account").into();
         let wait_until = self.node.clock.now() + MAX_STARTUP_WAIT;
-        self.wait_for(wait_until, || self.node.loaded().is_some())
-            .await;
+        let is_ready = || self.node.loaded().is_some() && self.node.knows_evacuations();
+        self.wait_for(wait_until, is_ready).await;
         let reply = match self.prepare(target, request, id.clone()) {
             Ok(call) => self.run(call).await,
             Err(fault) => Err(fault),
@@ -136,6 +136,10 @@
 
     fn prepare(&self, target: &str, request: Request, id: SmolStr) -> Result<Call, Fault> {
         let loaded = self.node.require_config()?;
+        if !self.node.knows_evacuations() {
+            let detail = "the gateway does not know yet which failure domains are evacuated";
+            return Err(Fault::new(Code::NotReady, detail));
+        }
         let (name, path) = target.split_once('/').unwrap_or((target, ""));
         let service = loaded.config.service(name).ok_or_else(|| {
             Fault::new(
@@ -221,7 +225,7 @@
         self.budget.borrow_mut().record_request();
         let service = call.request.service.clone();
         let wait_until = call.deadline.min(self.node.clock.now() + MAX_STARTUP_WAIT);
-        let is_known = || !self.node.members().upstreams(&service).is_empty();
+        let is_known = || !self.upstreams(&service).is_empty();
         self.wait_for(wait_until, is_known).await;
         if call.request.key.is_empty() {
             self.run_unkeyed(&mut call).await
@@ -293,9 +297,15 @@
         self.node.clock.now() < call.deadline && self.budget.borrow_mut().try_retry()
     }
 
+    /// Lists the sidecars of a service to which new requests may be sent.
+    fn upstreams(&self, service: &str) -> Vec<SmolStr> {
+        let allowed = |member: &_| self.node.may_send_to(member);
+        self.node.members().upstreams(service, allowed)
+    }
+
     /// Chooses a sidecar of the service that was not tried yet.
     pub(super) fn choose_sidecar(&self, call: &Call) -> Option<SmolStr> {
-        let candidates = self.node.members().upstreams(&call.request.service);
+        let candidates = self.upstreams(&call.request.service);
         let now = self.node.clock.now();
         let mut rng = self.rng.borrow_mut();
         self.balancer
@@ -311,6 +321,11 @@
         let Some(member) = members.live(name) else {
             return Attempt::NotSent(format!("sidecar {name} is no longer available"));
         };
+        // The claim of a key takes time, in which the domain may have been evacuated. Asking
+        // for the outcome of an earlier request starts nothing.
+        if !call.request.outcome_only && !self.node.may_send_to(member) {
+            return Attempt::NotSent(format!("the failure domain of sidecar {name} is evacuated"));
+        }
         if remaining.is_zero() {
             let expired =
                 ForwardReply::failure(Code::DeadlinePassed, Code::DeadlinePassed.meaning());
--- a/crates/roles/src/node/gossip.rs
+++ b/crates/roles/src/node/gossip.rs
@@ -59,11 +59,11 @@
 
     /// Lists the sidecars of a service to which requests may be sent.
     ///
-    /// Suspect sidecars are listed only if none is alive.
-    pub fn upstreams(&self, service: &str) -> Vec<SmolStr> {
+    /// Only sidecars that are `allowed` are listed; suspect ones only if none is alive.
+    pub fn upstreams(&self, service: &str, allowed: impl Fn(&Member) -> bool) -> Vec<SmolStr> {
         let in_state = |state| {
             let of_service = self.entries.iter().filter(move |m| m.latest.state == state);
-            let of_service = of_service.filter(|m| m.latest.info.service == service);
+            let of_service = of_service.filter(|m| m.latest.info.service == service && allowed(m));
             of_service
                 .map(|m| m.latest.name.clone())
                 .collect::<Vec<_>>()
@@ -239,7 +239,7 @@
     node.log.emit(event, name, "");
 }
 
-fn publish(node: &Node, swim: &Swim) {
+fn publish(node: &Rc<Node>, swim: &Swim) {
     let table = MemberTable {
         entries: swim.members().cloned().collect(),
         role: role_name(swim.local().info.role),
@@ -247,4 +247,7 @@
     node.metrics
         .set_gauge("members", table.entries.len() as u64);
     *node.members.borrow_mut() = Rc::new(table);
+    if swim.local().info.role == Role::Gateway {
+        node.locate_sidecars();
+    }
 }
--- a/crates/roles/src/node/mod.rs
+++ b/crates/roles/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! The state shared by the tasks of a process: membership, configuration, store, logs and metrics.
 
 mod config;
+mod evacuations;
 mod gossip;
 
 pub use config::LoadedConfig;
@@ -17,6 +18,7 @@
 use hibiscusbarrow_adapters::signal::Flag;
 use hibiscusbarrow_adapters::store::Store;
 use hibiscusbarrow_coordination::clock::Clock;
+use hibiscusbarrow_coordination::evacuation::EvacuationSet;
 use hibiscusbarrow_coordination::generation::Generation;
 use hibiscusbarrow_coordination::membership::Info;
 use hibiscusbarrow_coordination::membership::Role;
@@ -31,6 +33,8 @@
 use smol_str::SmolStr;
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -66,6 +70,11 @@
     /// Whether a configuration is being fetched from a peer.
     fetching: Cell<bool>,
     members: RefCell<Rc<MemberTable>>,
+    evacuations: RefCell<EvacuationSet>,
+    /// The failure domain of each sidecar, by its name and life.
+    locations: RefCell<HashMap<(SmolStr, u64), SmolStr>>,
+    /// The sidecars that are being asked for their failure domain.
+    locating: RefCell<HashSet<(SmolStr, u64)>>,
     /// The highest placer epoch known in the region.
     epoch: Cell<u64>,
     gossip: mpsc::UnboundedSender<Command>,
@@ -119,12 +128,16 @@
             config: RefCell::new(Generation::default()),
             fetching: Cell::new(false),
             members: RefCell::new(Rc::new(MemberTable::default())),
+            evacuations: RefCell::new(EvacuationSet::default()),
+            locations: RefCell::new(HashMap::new()),
+            locating: RefCell::new(HashSet::new()),
             epoch: Cell::new(0),
             gossip: sender,
             sequence: Cell::new(0),
             settings,
         });
         gossip::spawn(node.clone(), socket, swim, receiver);
+        compio::runtime::spawn(node.clone().follow_evacuations(role)).detach();
         compio::runtime::spawn(node.clone().find_peers(role)).detach();
         Ok(node)
     }
--- a/crates/roles/src/placer/gangs.rs
+++ b/crates/roles/src/placer/gangs.rs
@@ -22,6 +22,8 @@
     pub mask: u8,
     /// Whether the worker has reported the gang.
     pub reported: bool,
+    /// Whether the worker is known to have started the member.
+    pub started: bool,
     /// Whether the task of the member succeeded.
     pub done: bool,
 }
@@ -70,6 +72,7 @@
         link,
         mask,
         reported: false,
+        started: false,
         done: false,
     };
     Some(masks.into_iter().map(member).collect())
@@ -107,11 +110,20 @@
         }
     }
 
+    /// Returns whether a command prepares or makes the start of a member that has not started.
+    pub fn starts_member(&self, index: usize, command: Command) -> bool {
+        let starts = matches!(command, Command::Hold { .. } | Command::Run { .. });
+        starts && !self.members[index].started
+    }
+
     /// Handles the result of a command.
     pub fn handle_result(&mut self, sent: &SentCommand, code: Code, now: Duration) {
         let ack = match (sent.command, code) {
             (Command::Hold { seq }, Code::Done) => MemberAck::Held(seq),
-            (Command::Run { seq, .. }, Code::Done) => MemberAck::Running(seq),
+            (Command::Run { seq, .. }, Code::Done) => {
+                self.members[sent.member].started = true;
+                MemberAck::Running(seq)
+            }
             (Command::Stop, Code::Done) => MemberAck::Stopped,
             (Command::Release, Code::Done) => MemberAck::Released,
             (Command::Run { seq, .. }, Code::NoHold) => MemberAck::Refused(seq),
@@ -141,6 +153,7 @@
             return GangChange::None;
         };
         member.reported = true;
+        member.started |= has_started(state);
         match state {
             MemberState::Failed => return GangChange::Failed,
             MemberState::Done => member.done = true,
@@ -156,6 +169,14 @@
     }
 }
 
+/// Returns whether a member in this state has been started.
+pub(super) fn has_started(state: MemberState) -> bool {
+    matches!(
+        state,
+        MemberState::Running | MemberState::Done | MemberState::Failed
+    )
+}
+
 /// Returns the indices of the bits of a mask.
 pub(super) fn bits(mask: u8) -> Vec<u16> {
     (0..8).filter(|bit| mask >> bit & 1 == 1).collect()
--- a/crates/roles/src/placer/mod.rs
+++ b/crates/roles/src/placer/mod.rs
@@ -4,6 +4,7 @@
 //! region's lease in the store places the gangs; the others forward requests to it.
 
 mod election;
+mod evacuate;
 mod gangs;
 mod leading;
 mod placing;
--- a/crates/roles/src/placer/placing.rs
+++ b/crates/roles/src/placer/placing.rs
@@ -195,7 +195,7 @@
         let event = match reason {
             "finished" => Event::JobFinished,
             "cancelled" => Event::JobCancelled,
-            "worker lost" | "member failed" => Event::JobRequeued,
+            "worker lost" | "member failed" | "domain evacuated" => Event::JobRequeued,
             _ => Event::JobPreempted,
         };
         let (job, account) = (gang.job.clone(), gang.account.clone());
@@ -203,10 +203,17 @@
     }
 
     /// Sends the due commands of all gangs, and asks for the reports that are due.
+    ///
+    /// Commands that would start a member on a worker closed to new work are left out, and are
+    /// due again in the next step.
     pub(super) fn send_orders(&mut self, now: Duration) {
         let mut batches: HashMap<usize, Vec<SentCommand>> = HashMap::new();
+        let closed: Vec<bool> = (0..self.links.len()).map(|l| self.is_closed(l)).collect();
         for (job, gang) in &mut self.gangs {
             for (member, command) in gang.run.poll(now) {
+                if gang.starts_member(member, command) && closed[gang.members[member].link] {
+                    continue;
+                }
                 let sent = SentCommand {
                     job: *job,
                     member,
--- a/crates/roles/src/placer/rebuild.rs
+++ b/crates/roles/src/placer/rebuild.rs
@@ -3,6 +3,7 @@
 use super::account_specs;
 use super::gangs::Gang;
 use super::gangs::Member;
+use super::gangs::has_started;
 use super::gangs::job_of;
 use super::gangs::mask_of;
 use super::records;
@@ -103,8 +104,8 @@
 
     /// Starts to serve once everything needed to rebuild the state is known.
     ///
-    /// That is when all records and the configuration are read, and every worker has
-    /// reported. The wait for reports ends after the longest time that a hold can last.
+    /// That is when all records, the configuration and the evacuations are read, and every
+    /// worker has reported. The wait for reports ends after the longest time that a hold can last.
     pub(super) fn finish_takeover(&mut self, now: Duration) {
         let Stage::TakingOver { started, listed } = self.stage else {
             return;
@@ -112,7 +113,8 @@
         let all_up = self.links.iter().all(|l| l.up);
         let timed_out = now >= started + self.timing.max_hold();
         let has_config = self.records.is_empty() || self.generation > 0;
-        if !listed || !has_config || !(all_up || timed_out) {
+        let knows_evacuations = self.node.knows_evacuations();
+        if !listed || !has_config || !knows_evacuations || !(all_up || timed_out) {
             return;
         }
         self.adopt_gangs(now);
@@ -294,6 +296,7 @@
         link,
         mask,
         reported: true,
+        started: has_started(report.state),
         done: report.state == hibiscusbarrow_model::order::MemberState::Done,
     }
 }
--- a/crates/roles/src/placer/task.rs
+++ b/crates/roles/src/placer/task.rs
@@ -97,6 +97,10 @@
     pub(super) last_listed: Duration,
     /// Whether something changed since the last pass.
     pub(super) dirty: bool,
+    /// Whether gangs are not started because the set of evacuated domains is too old.
+    pub(super) stale: bool,
+    /// The accelerators that guarantees lacked beside evacuated domains when last reported.
+    pub(super) shortfall: u32,
 }
 
 impl PlacerTask {
@@ -135,6 +139,8 @@
             last_pass: Duration::ZERO,
             last_listed: Duration::ZERO,
             dirty: false,
+            stale: false,
+            shortfall: 0,
             node,
         }
     }
@@ -215,12 +221,15 @@
             self.step_down("another gateway announced a higher epoch");
             return;
         }
+        self.apply_evacuations();
         self.load_accounts(now);
         self.relist(now);
         self.finish_takeover(now);
         if self.stage == Stage::Serving {
             self.mark_lost_workers(now);
+            self.withdraw_gangs();
             self.run_pass(now);
+            self.report_shortfall();
         }
         self.send_orders(now);
         self.remove_released();
--- a/crates/roles/src/placer/view.rs
+++ b/crates/roles/src/placer/view.rs
@@ -13,6 +13,7 @@
 use hibiscusbarrow_placement::QuotaError;
 use hibiscusbarrow_placement::WorkerKey;
 use smol_str::SmolStr;
+use std::collections::BTreeMap;
 
 impl PlacerTask {
     pub(super) fn check_quotas(&self, accounts: Vec<AccountSpec>) -> Result<(), Fault> {
@@ -49,9 +50,21 @@
             used,
             shortfall: self.scheduler.quotas().shortfall(grid).into(),
             jobs,
+            domains: self.worker_domains(),
         }
     }
 
+    /// Returns the failure domains of all workers, each with its number of workers in service.
+    fn worker_domains(&self) -> BTreeMap<SmolStr, usize> {
+        let grid = self.scheduler.grid();
+        let mut domains = BTreeMap::new();
+        for worker in grid.workers() {
+            let domain = grid.spec(worker).domain.clone();
+            *domains.entry(domain).or_default() += usize::from(grid.is_up(worker));
+        }
+        domains
+    }
+
     pub(super) fn job_view(&self, stored: &StoredJob) -> JobView {
         let spec = stored.record.spec.clone();
         let mut view = JobView {
--- a/crates/roles/src/sidecar/forward.rs
+++ b/crates/roles/src/sidecar/forward.rs
@@ -139,10 +139,24 @@
         state.upstream.take_if(|u| u.leaving);
     }
 
-    /// Removes the upstream when its announcements stop; runs until the process stops.
+    /// Rejects the requests that wait for a slot if the domain is evacuated.
+    fn reject_waiting(&self) {
+        if !self.node.is_evacuated() {
+            return;
+        }
+        let mut state = self.state.borrow_mut();
+        for (id, waiter) in std::mem::take(&mut state.waiters) {
+            state.admission.cancel(id);
+            let _ = waiter.send(false);
+        }
+    }
+
+    /// Removes the upstream when its announcements stop, and the waiting requests when the
+    /// domain is evacuated; runs until the process stops.
     pub async fn expire_upstream(self: Rc<Self>) {
         while !self.node.stop.is_raised() {
             compio::time::sleep(ANNOUNCEMENT_TIMEOUT / 4).await;
+            self.reject_waiting();
             let now = self.node.clock.now();
             let mut state = self.state.borrow_mut();
             let is_expired =
@@ -304,6 +318,7 @@
 
     /// Counts a request as in flight, or returns the reason why it cannot run.
     fn enter(&self, request: &ForwardRequest) -> Result<(), ForwardReply> {
+        self.reject_if_evacuated()?;
         let mut state = self.state.borrow_mut();
         let Some(upstream) = state.upstream.as_ref() else {
             return Err(ForwardReply::failure(
@@ -327,6 +342,15 @@
         Ok(())
     }
 
+    /// Rejects a request that has not been sent to the upstream if the domain is evacuated.
+    fn reject_if_evacuated(&self) -> Result<(), ForwardReply> {
+        if !self.node.is_evacuated() {
+            return Ok(());
+        }
+        let detail = "the failure domain of the upstream is evacuated";
+        Err(ForwardReply::failure(Code::NoUpstream, detail))
+    }
+
     async fn wait_and_run(&self, request: &ForwardRequest) -> ForwardReply {
         let now = self.node.clock.now();
         let deadline = now + Duration::from_millis(request.remaining_ms.into());
@@ -346,7 +370,10 @@
                 return ForwardReply::failure(Code::Overloaded, Code::Overloaded.meaning());
             }
         }
-        let reply = self.send_to_upstream(request, deadline).await;
+        let reply = match self.reject_if_evacuated() {
+            Ok(()) => self.send_to_upstream(request, deadline).await,
+            Err(reply) => reply,
+        };
         self.release_slot();
         reply
     }
@@ -365,6 +392,7 @@
         if granted {
             return Ok(());
         }
+        self.reject_if_evacuated()?;
         Err(ForwardReply::failure(
             Code::DeadlinePassed,
             Code::DeadlinePassed.meaning(),
--- a/crates/roles/src/sidecar/mod.rs
+++ b/crates/roles/src/sidecar/mod.rs
@@ -22,6 +22,7 @@
 use hibiscusbarrow_model::event::Event;
 use hibiscusbarrow_model::settings::Settings;
 use hibiscusbarrow_model::state::Announcement;
+use hibiscusbarrow_model::state::ProcessLocation;
 use hibiscusbarrow_model::state::Status;
 use serde_json::json;
 use slog::Logger;
@@ -109,6 +110,7 @@
             forwarder.drain_upstream().await;
             json_reply(200, &json!({}))
         }
+        "/v1/location" => json_reply(200, &location(&node)),
         "/v1/status" => json_reply(200, &status(&node)),
         "/v1/events" => json_reply(200, &node.log.records()),
         "/healthz" => text_reply(200, "ok\n"),
@@ -128,5 +130,12 @@
         generation: node.generation(),
         members: node.member_views(),
         placer: None,
+        evacuations: node.evacuations_view(),
+    }
+}
+
+fn location(node: &Node) -> ProcessLocation {
+    ProcessLocation {
+        domain: node.settings.domain.clone(),
     }
 }
