Add the command evacuate, show evacuations in status and explain, test the decisions

A gang that holds its cells is adopted under its guarantee also while other guarantees lack hardware: an evacuation makes this common, and the gang would otherwise become preemptible by a change of placer.

--- a/crates/placement/src/quota.rs
+++ b/crates/placement/src/quota.rs
@@ -364,11 +364,11 @@
             let mut remaining = self.unbound;
             remaining.sub(bound_shape, 1);
             let enclosing = enclosing_shape(free, mask).unwrap_or(bound_shape);
-            if !grid
-                .unbound()
-                .split(enclosing, bound_shape)
-                .packs(&remaining)
-            {
+            // A gang that holds its cells does not lose its guarantee over a shortfall that is
+            // there without it.
+            let lacking = self.shortfall(grid).accelerators();
+            let split = grid.unbound().split(enclosing, bound_shape);
+            if split.missing(&remaining).accelerators() > lacking {
                 continue;
             }
             grid.bind(binding);
--- a/crates/placement/src/scheduler/evacuate.rs
+++ b/crates/placement/src/scheduler/evacuate.rs
@@ -81,8 +81,7 @@
         let index = job.account_index;
         let mut cells = job.cells.clone();
         cells.retain(|c| !self.grid.is_evacuated(c.worker));
-        let guaranteed =
-            !cells.is_empty() && self.quotas.adopt(&mut self.grid, index, &cells);
+        let guaranteed = !cells.is_empty() && self.quotas.adopt(&mut self.grid, index, &cells);
         let job = self.job_mut(key);
         job.guaranteed = guaranteed;
         if guaranteed {
--- a/crates/placement/tests/suite/main.rs
+++ b/crates/placement/tests/suite/main.rs
@@ -1,5 +1,6 @@
 //! Tests of placement decisions, by feature.
 
+mod evacuation;
 mod fixtures;
 mod packing;
 mod quarantine;
--- a/crates/roles/src/gateway/evacuations.rs
+++ b/crates/roles/src/gateway/evacuations.rs
@@ -45,7 +45,9 @@
                 Event::EvacuationEnded
             };
             let region = &self.node.settings.region;
-            self.node.log.emit(event, domain, format!("region={region}"));
+            self.node
+                .log
+                .emit(event, domain, format!("region={region}"));
         }
         let pending = self.node.spread_evacuations().await;
         Ok(EvacuationReply {
@@ -117,18 +119,13 @@
     }
 
     /// Checks that the region has the domain, and another one that is not evacuated.
-    async fn check_domain(
-        &self,
-        domain: &str,
-        evacuated: &BTreeSet<SmolStr>,
-    ) -> Result<(), Fault> {
+    async fn check_domain(&self, domain: &str, evacuated: &BTreeSet<SmolStr>) -> Result<(), Fault> {
         let (domains, complete) = self.domains().await;
         let region = &self.node.settings.region;
         let count = domains.len();
         let fault = if !domains.contains_key(domain) {
-            let detail = format!(
-                "no failure domain is named {domain:?}; region {region} has {count}"
-            );
+            let detail =
+                format!("no failure domain is named {domain:?}; region {region} has {count}");
             Fault::new(Code::UnknownDomain, detail)
         } else {
             let remains = |(name, serving): (&SmolStr, &bool)| {
--- a/crates/roles/src/gateway/mod.rs
+++ b/crates/roles/src/gateway/mod.rs
@@ -113,8 +113,6 @@
 impl Gateway {
     /// Returns whether a load balancer should send requests to this gateway.
     fn is_ready(&self) -> bool {
-        !self.node.stop.is_raised()
-            && self.node.generation() > 0
-            && self.node.knows_evacuations()
+        !self.node.stop.is_raised() && self.node.generation() > 0 && self.node.knows_evacuations()
     }
 }
--- a/crates/roles/src/node/evacuations.rs
+++ b/crates/roles/src/node/evacuations.rs
@@ -45,9 +45,7 @@
     /// One lost answer of the store is allowed for; see `docs/design/operator-evacuation.md`.
     pub fn may_start_gangs(&self) -> bool {
         let limit = (self.confirm_interval() * 2).max(MIN_AGE_LIMIT);
-        self.evacuations
-            .borrow()
-            .is_fresh(self.clock.now(), limit)
+        self.evacuations.borrow().is_fresh(self.clock.now(), limit)
     }
 
     /// Returns whether the set was received since the process started.
@@ -151,9 +149,8 @@
     /// Lists the other gateways that may answer, with their HTTP addresses.
     fn other_gateways(&self) -> Vec<(SmolStr, SocketAddr)> {
         let members = self.members();
-        let is_gateway = |m: &&Member| {
-            m.latest.info.role == Role::Gateway && m.latest.state != State::Dead
-        };
+        let is_gateway =
+            |m: &&Member| m.latest.info.role == Role::Gateway && m.latest.state != State::Dead;
         let gateways = members.entries.iter().filter(is_gateway);
         gateways
             .map(|m| (m.latest.name.clone(), m.latest.info.http))
@@ -246,9 +243,11 @@
                 Some(stored) => {
                     self.install_evacuations(&region, entry.mod_revision, stored.domains);
                 }
-                None => self
-                    .log
-                    .emit(Event::PeerRefused, key, "the value is no set of evacuations"),
+                None => self.log.emit(
+                    Event::PeerRefused,
+                    key,
+                    "the value is no set of evacuations",
+                ),
             }
         }
         let regions: Vec<SmolStr> = {
@@ -268,7 +267,12 @@
             .choose_multiple(&mut rand::rng(), ASKED_GATEWAYS)
             .map(|(_, addr)| *addr)
             .collect();
-        join_all(asked.into_iter().map(|addr| self.exchange_evacuations(addr))).await;
+        join_all(
+            asked
+                .into_iter()
+                .map(|addr| self.exchange_evacuations(addr)),
+        )
+        .await;
     }
 
     /// Asks the sidecars whose failure domain is not known for it, and forgets those that left.
@@ -280,7 +284,12 @@
             .entries
             .iter()
             .filter(is_sidecar)
-            .map(|m| ((m.latest.name.clone(), m.latest.info.life), m.latest.info.http))
+            .map(|m| {
+                (
+                    (m.latest.name.clone(), m.latest.info.life),
+                    m.latest.info.http,
+                )
+            })
             .collect();
         let current: BTreeSet<_> = sidecars.iter().map(|(key, _)| key).collect();
         self.locations
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -175,6 +175,18 @@
             required name: String
         }
 
+        /// Sends no more work to a failure domain, until the evacuation is cancelled.
+        cmd evacuate {
+            /// The HTTP address of a gateway.
+            required -g, --gateway gateway: SocketAddr
+            /// Cancels the evacuation.
+            optional --end
+            /// Prints JSON.
+            optional --json
+            /// The name of the failure domain.
+            required domain: String
+        }
+
         /// Explains the outcome of a job from logs.
         cmd explain {
             /// A log file of JSON lines; without one, standard input is read.
--- a/src/cmd/explain/cause.rs
+++ b/src/cmd/explain/cause.rs
@@ -139,7 +139,7 @@
     let mut waiting_since = Some(from);
     for (index, record) in events.iter().enumerate().skip(from + 1) {
         let own = record.subject == job;
-        if own && record.event == Event::JobPlaced {
+        if own && matches!(record.event, Event::JobPlaced | Event::JobStarted) {
             if let Some(since) = waiting_since.take() {
                 let duration = record.at - events[since].at;
                 let (cause, decisive) = wait_cause(events, job, since, index);
@@ -250,8 +250,29 @@
             Some(from + index),
         );
     }
+    if let Some(index) = standing_evacuation(&events[..to]) {
+        return (
+            format!(
+                "no worker outside the evacuated domain {} had free capacity",
+                events[index].subject
+            ),
+            Some(index),
+        );
+    }
     (
         "no worker had free capacity, or more urgent jobs came first".into(),
         Some(to),
     )
 }
+
+/// Returns the index of the newest request of an evacuation that was not cancelled.
+fn standing_evacuation(events: &[Record]) -> Option<usize> {
+    let ended_later = |index: usize| {
+        let later = events[index..].iter();
+        let mut ends = later.filter(|r| r.event == Event::EvacuationEnded);
+        ends.any(|r| r.subject == events[index].subject)
+    };
+    (0..events.len())
+        .rev()
+        .find(|i| events[*i].event == Event::EvacuationBegan && !ended_later(*i))
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -7,6 +7,7 @@
 pub mod client;
 mod demo;
 mod diff;
+mod evacuate;
 mod explain;
 mod fleet;
 mod gateway;
@@ -41,6 +42,7 @@
         Command::Status(args) => status::execute(args),
         Command::Submit(args) => submit::execute(args),
         Command::Cancel(args) => cancel::execute(args),
+        Command::Evacuate(args) => evacuate::execute(args),
         Command::Explain(args) => explain::execute(args),
         Command::Timeline(args) => timeline::execute(args),
         Command::Demo(args) => demo::execute(args),
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -5,6 +5,7 @@
 use crate::cli;
 use crate::output;
 use anyhow::Result;
+use hibiscusbarrow_model::state::EvacuationsView;
 use hibiscusbarrow_model::state::Status;
 
 /// Prints the members, their configuration generations and the placement.
@@ -30,6 +31,7 @@
         ]);
     }
     let mut lines = vec![output::format_table(&rows)];
+    lines.extend(format_evacuations(&status.evacuations));
     match &status.placer {
         None => lines.push("no placer of the region answers".to_owned()),
         Some(placer) => {
@@ -39,7 +41,7 @@
             ));
             for entry in &placer.shortfall {
                 lines.push(format!(
-                    "guarantees lack {} x {:?}: hardware is out of service",
+                    "guarantees lack {} x {:?}: hardware is out of service or evacuated",
                     entry.count, entry.shape
                 ));
             }
@@ -50,3 +52,23 @@
     }
     lines.join("\n")
 }
+
+/// Lists the evacuated domains, and how old the set is.
+fn format_evacuations(view: &EvacuationsView) -> Vec<String> {
+    let age = match view.age_ms {
+        Some(age) => format!("confirmed {age} ms ago"),
+        None => "not known yet".to_owned(),
+    };
+    let mut lines = Vec::new();
+    for (region, set) in &view.regions {
+        for domain in &set.domains {
+            lines.push(format!(
+                "domain {domain} of region {region} is evacuated, {age}"
+            ));
+        }
+    }
+    if view.age_ms.is_none() {
+        lines.push(format!("evacuations: {age}"));
+    }
+    lines
+}
