--- a/crates/placement/src/scheduler/evacuate.rs
+++ b/crates/placement/src/scheduler/evacuate.rs
@@ -51,6 +51,15 @@
         }
     }
 
+    /// Returns the end of a waiting reason that names the evacuated domains; empty without one.
+    pub(super) fn evacuated_note(&self) -> String {
+        if self.evacuated.is_empty() {
+            return String::new();
+        }
+        let domains: Vec<&str> = self.evacuated.iter().map(SmolStr::as_str).collect();
+        format!("; evacuated: {}", domains.join(", "))
+    }
+
     /// Queues the gangs again that have claimed cells on these workers and do not hold them yet.
     fn withdraw_claims(&mut self, workers: &[WorkerKey]) {
         let on_workers = |c: &Cell| workers.contains(&c.worker);
--- a/crates/placement/src/scheduler/mod.rs
+++ b/crates/placement/src/scheduler/mod.rs
@@ -452,12 +452,7 @@
         let other = self.reservation.as_ref().filter(|r| r.job != key);
         let holder = other.and_then(|r| self.job(r.job)).map(|j| j.name.clone());
         let reserved = holder.map_or(String::new(), |n| format!("; cells are reserved for {n}"));
-        let evacuated = if self.evacuated.is_empty() {
-            String::new()
-        } else {
-            let domains: Vec<&str> = self.evacuated.iter().map(SmolStr::as_str).collect();
-            format!("; evacuated: {}", domains.join(", "))
-        };
+        let evacuated = self.evacuated_note();
         format!(
             "{coverage}; {} of {} needed accelerators are idle{reserved}{evacuated}",
             self.grid.idle(),
@@ -577,10 +572,11 @@
         let total: Vec<ShapeCount> = (*self.grid.total()).into();
         let have = total.iter().map(|e| format!("{} {:?}", e.count, e.shape));
         let reason = format!(
-            "needs {} x {:?}; the workers in service have {}",
+            "needs {} x {:?}; the workers in service have {}{}",
             job.count,
             job.shape,
-            have.collect::<Vec<_>>().join(", ")
+            have.collect::<Vec<_>>().join(", "),
+            self.evacuated_note()
         );
         self.waiting.retain(|k| *k != key);
         self.job_mut(key).state = JobState::Parked(reason.into());
--- a/tests/testsuite/cluster.rs
+++ b/tests/testsuite/cluster.rs
@@ -44,6 +44,7 @@
     sidecars: usize,
     workers: usize,
     keep_ms: u64,
+    domains: &'static [&'static str],
 }
 
 impl ClusterBuilder {
@@ -55,9 +56,16 @@
             sidecars: 2,
             workers: 2,
             keep_ms: 3_600_000,
+            domains: &["qc-montreal"],
         }
     }
 
+    /// Sets the failure domains, assigned in turn to the processes of each kind.
+    pub fn domains(mut self, domains: &'static [&'static str]) -> Self {
+        self.domains = domains;
+        self
+    }
+
     /// Sets the setting `timing.keep_ms`, the time for which ended jobs are retained.
     pub fn keep_ms(mut self, keep_ms: u64) -> Self {
         self.keep_ms = keep_ms;
@@ -109,6 +117,7 @@
             ip: loopback_ip(number),
             last_port: BASE_PORT,
             keep_ms: self.keep_ms,
+            domains: self.domains,
             processes: BTreeMap::new(),
             addrs: BTreeMap::new(),
         };
@@ -132,6 +141,7 @@
     /// The port that was assigned last.
     last_port: u16,
     keep_ms: u64,
+    domains: &'static [&'static str],
     processes: BTreeMap<String, Process>,
     /// The HTTP address of each process, by its name.
     addrs: BTreeMap<String, SocketAddr>,
@@ -175,7 +185,7 @@
                 "--rack",
                 &rack,
                 "--domain",
-                "qc-montreal",
+                self.domains[i % self.domains.len()],
             ],
         );
     }
@@ -207,7 +217,7 @@
         let name = format!("{role}-{i}");
         let http = self.reserve(&name);
         let settings = json!({
-            "name": name, "region": "quebec", "domain": "qc-montreal",
+            "name": name, "region": "quebec", "domain": self.domains[i % self.domains.len()],
             "http": http, "peer": self.next_addr(), "store": self.addr("store"),
             "secret": "a secret for tests only", "workers": workers,
             "timing": {
@@ -293,6 +303,12 @@
         counts
     }
 
+    /// Returns how many requests ran at one upstream, over all its incarnations.
+    pub fn runs_at(&self, upstream: usize) -> usize {
+        let journal = fs::read_to_string(self.journal_path(upstream)).unwrap_or_default();
+        journal.lines().count()
+    }
+
     /// Sends a signal to a process.
     pub fn signal(&self, name: &str, signal: &str) {
         let pid = self.processes[name].child.id().to_string();
@@ -341,6 +357,19 @@
         }
     }
 
+    /// Edits the settings file of a gateway or sidecar, which it reads when it starts again.
+    pub fn edit_settings(&self, name: &str, edit: impl FnOnce(&mut Value)) {
+        let mut settings = self.settings(name);
+        edit(&mut settings);
+        self.write_file(&format!("{name}.jsonc"), &settings.to_string());
+    }
+
+    /// Returns the settings of a gateway or sidecar.
+    pub fn settings(&self, name: &str) -> Value {
+        let text = fs::read_to_string(self.dir.join(format!("{name}.jsonc")));
+        serde_json::from_str(&text.expect("the settings exist")).expect("the settings are JSON")
+    }
+
     /// Starts a killed or stopped process again with the same arguments.
     pub fn restart(&mut self, name: &str) {
         let args = self.processes[name].args.clone();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod cluster;
 mod commands;
 mod configuration;
+mod evacuation;
 mod explain;
 mod failures;
 mod fleet;
