Describe evacuations by operators, and drop the pending stop of a released gang

A stop that no pass had returned yet undid the next start of the job, which then held its cells without a gang. A gang that was stopped while its record was being written stayed stopping if the write failed.

--- a/crates/placement/src/scheduler/mod.rs
+++ b/crates/placement/src/scheduler/mod.rs
@@ -479,6 +479,8 @@
             return;
         }
         let cells = job.cells.clone();
+        // A stop that no pass has returned yet would undo the next start of the job.
+        self.pending_stops.retain(|stop| stop.job() != key);
         for cell in &cells {
             self.grid.vacate(*cell);
         }
--- a/crates/placement/tests/suite/evacuation.rs
+++ b/crates/placement/tests/suite/evacuation.rs
@@ -53,14 +53,19 @@
     let claim = run(&mut scheduler, "claim", "a", Shape::Worker, 1);
     let borrower = run(&mut scheduler, "borrower", "b", Shape::Quad, 2);
     let waiting = run(&mut scheduler, "waiting", "b", Shape::Worker, 1);
+    let wide = run(&mut scheduler, "wide", "b", Shape::Worker, 3);
 
     assert_eq!(domains_of(&scheduler, claim), set(&["d1"]));
     assert_eq!(domains_of(&scheduler, borrower), set(&["d1"]));
     assert_eq!(domains_of(&scheduler, waiting), set(&[]));
     assert!(scheduler.waiting_reason(waiting).contains("evacuated: d0"));
+    let state = &scheduler.job(wide).expect("it waits").state;
+    assert!(matches!(state, JobState::Parked(reason) if reason.contains("evacuated: d0")));
     evacuate(&mut scheduler, &[]);
     run_passes(&mut scheduler, at(1));
     assert_eq!(domains_of(&scheduler, waiting), set(&["d0"]));
+    let state = &scheduler.job(wide).expect("it waits").state;
+    assert_eq!(state, &JobState::Waiting);
 }
 
 /// Guards against claims on the rest of a guaranteed cell that is bound in the domain: the
@@ -218,6 +223,43 @@
     assert_eq!(scheduler.quotas().unbound().accelerators(), 0);
 }
 
+/// Guards against a gang that ends during the evacuation and, when it is released at last,
+/// takes away the claim of the next gang on its cells.
+#[test]
+fn late_release_keeps_the_claim_of_the_next_gang() {
+    let quota = [(Shape::Worker, 1)];
+    let accounts = vec![account("a", &quota), account("b", &quota)];
+    let mut scheduler = two_domains(1, accounts, guarantees_only());
+    let first = run(&mut scheduler, "first", "a", Shape::Worker, 1);
+    run(&mut scheduler, "beside", "b", Shape::Worker, 1);
+    let home = domains_of(&scheduler, first).pop_first().expect("it runs");
+    scheduler.finished(first, at(1));
+    scheduler.pass(at(1));
+
+    evacuate(&mut scheduler, &[&home]);
+    evacuate(&mut scheduler, &[]);
+    let next = scheduler.submit(Job::new("next", "a", Shape::Worker, 1).urgent(true), at(2));
+    scheduler.pass(at(2));
+    scheduler.released(first);
+    run_passes(&mut scheduler, at(3));
+
+    let cell = scheduler.job(next).expect("it runs").cells[0];
+    assert_eq!(scheduler.grid().claimed_mask(cell.worker), 0xff);
+}
+
+/// Guards against a gang that is released before a pass has returned its stop: the stop would
+/// undo the next start, and the job would hold its cells without ever running.
+#[test]
+fn gang_released_before_its_stop_is_passed_starts_again() {
+    let mut scheduler = two_domains(1, vec![account("a", &[])], guarantees_only());
+    let key = run(&mut scheduler, "early", "a", Shape::Worker, 1);
+    scheduler.withdraw(key);
+
+    scheduler.released(key);
+
+    assert_eq!(run_passes(&mut scheduler, at(1)), ["early"]);
+}
+
 /// Guards against a new placer that forgets the guarantee of a gang that reaches into the
 /// domain, and against a worker that joins there and gets work.
 #[test]
--- a/crates/roles/src/placer/placing.rs
+++ b/crates/roles/src/placer/placing.rs
@@ -125,8 +125,12 @@
             records::fetch(self.node.clone(), self.messages.clone(), name.clone());
         }
         if let Some((key, cells, guaranteed)) = self.starting.remove(&name) {
+            let job = self.scheduler.job(key);
+            let stopped = job.is_some_and(|j| j.state == JobState::Stopping);
             match stored {
                 Some(stored) => self.start_gang(key, &cells, guaranteed, &stored),
+                // Its stop found no gang while the record was being written.
+                None if stopped => self.scheduler.released(key),
                 None => self.scheduler.requeue_lost(key),
             }
             self.dirty = true;
