--- a/tests/testsuite/evacuation.rs
+++ b/tests/testsuite/evacuation.rs
@@ -186,6 +186,41 @@
     cluster.wait_for_job("wide", "done");
 }
 
+/// Guards against a gateway that cannot read the store and goes on with the set that it had: it
+/// was frozen while the others were told, and learns of the request from another gateway.
+#[test]
+fn gateway_without_a_path_to_the_store_learns_of_the_request_from_others() {
+    let mut cluster = two_domains(2);
+    let seed = cluster.settings("gateway-0")["peer"].clone();
+    cluster.kill("gateway-1");
+    cluster.edit_settings("gateway-1", |settings| {
+        settings["store"] = json!("127.0.0.1:1");
+        settings["seeds"] = json!([seed]);
+    });
+    cluster.restart("gateway-1");
+    let addr = cluster.addr("gateway-1");
+    cluster.wait_for("the gateway to serve", || {
+        cluster.send_request(addr, &[], "body").status == 200
+    });
+    cluster.signal("gateway-1", "-STOP");
+
+    let answer = evacuate_ok(&cluster, "gateway-0", &["qc-montreal"]);
+    cluster.signal("gateway-1", "-CONT");
+    std::thread::sleep(BOUND);
+    let before = cluster.runs_at(0);
+    for _ in 0..20 {
+        let response = cluster.send_request(addr, &[], "body");
+        assert_eq!(response.status, 200, "{response:?}");
+    }
+
+    assert!(answer.contains("gateway-1 has not confirmed"), "{answer}");
+    assert_eq!(
+        cluster.runs_at(0),
+        before,
+        "an upstream of the domain ran a request"
+    );
+}
+
 /// Guards against a gang that has its accelerators held in the domain when the request is made,
 /// and starts when the last worker has answered.
 #[test]
--- a/tests/testsuite/explain.rs
+++ b/tests/testsuite/explain.rs
@@ -239,3 +239,22 @@
     assert!(explanation.contains("workers crashed under one of its tasks"));
     assert!(decisive_line(&explanation).contains("E1619"));
 }
+
+/// Guards against a job that waits for the end of an evacuation and is said to wait for
+/// capacity alone, also if the request was made long before the job.
+#[test]
+fn wait_beside_an_evacuated_domain_names_the_domain() {
+    let explanation = explanation_of(&[
+        line(100, "g1", 1720, "qc-saguenay", "region=quebec"),
+        line(200, "g1", 1720, "qc-montreal", "region=quebec"),
+        line(300, "g1", 1721, "qc-saguenay", "region=quebec"),
+        line(90_000, "g1", 1601, JOB, ""),
+        line(95_000, "g1", 1609, JOB, "POST /pairs/a1 status=304"),
+    ]);
+
+    assert!(
+        explanation.contains("no worker outside the evacuated domain qc-montreal"),
+        "{explanation}"
+    );
+    assert!(decisive_line(&explanation).contains("E1720 qc-montreal"));
+}
