Leave refusals of new requests in an evacuated domain to the gateways

A sidecar learns of a cancellation up to a poll after the gateways. Until then it refused what they sent, and requests failed once the retries were used up: seen once in four runs of the process tests as a request that was not answered with 200. It refuses only what waits for a slot.

--- a/crates/roles/src/sidecar/forward.rs
+++ b/crates/roles/src/sidecar/forward.rs
@@ -318,7 +318,6 @@
 
     /// Counts a request as in flight, or returns the reason why it cannot run.
     fn enter(&self, request: &ForwardRequest) -> Result<(), ForwardReply> {
-        self.reject_if_evacuated()?;
         let mut state = self.state.borrow_mut();
         let Some(upstream) = state.upstream.as_ref() else {
             return Err(ForwardReply::failure(
@@ -342,7 +341,10 @@
         Ok(())
     }
 
-    /// Rejects a request that has not been sent to the upstream if the domain is evacuated.
+    /// Rejects a request that waited for a slot if the domain is evacuated.
+    ///
+    /// Requests that need not wait are left to the gateways, which know of a cancellation
+    /// before the sidecar does and would spend their retries on its refusals.
     fn reject_if_evacuated(&self) -> Result<(), ForwardReply> {
         if !self.node.is_evacuated() {
             return Ok(());
@@ -365,15 +367,16 @@
                 if let Err(reply) = self.wait(id, deadline).await {
                     return reply;
                 }
+                if let Err(reply) = self.reject_if_evacuated() {
+                    self.release_slot();
+                    return reply;
+                }
             }
             Offer::Full => {
                 return ForwardReply::failure(Code::Overloaded, Code::Overloaded.meaning());
             }
         }
-        let reply = match self.reject_if_evacuated() {
-            Ok(()) => self.send_to_upstream(request, deadline).await,
-            Err(reply) => reply,
-        };
+        let reply = self.send_to_upstream(request, deadline).await;
         self.release_slot();
         reply
     }
