--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod clock;
 pub mod drain;
 pub mod duty_cycle;
+pub mod evacuation;
 pub mod fence;
 pub mod gang;
 pub mod generation;
--- a/crates/coordination/tests/suite/main.rs
+++ b/crates/coordination/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod call_window;
 mod client_budget;
 mod duty_cycle;
+mod evacuation;
 mod fixtures;
 mod gang;
 mod keyed;
--- a/crates/roles/src/fleet/placer.rs
+++ b/crates/roles/src/fleet/placer.rs
@@ -354,7 +354,7 @@
         if self.shared.settings.bounds.evacuation.is_some() {
             let (domains, shortfall) = self.ledger.evacuation_figures();
             metrics.set_gauge("domains_evacuated", domains);
-            metrics.set_gauge("guaranteed_short", shortfall);
+            metrics.set_gauge("guarantees_short", shortfall);
             if let Some((_, confirmed_at)) = self.cache.evacuated() {
                 let age = now.saturating_sub(confirmed_at);
                 metrics.set_gauge("evacuations_age_ms", age.as_millis() as u64);
--- a/crates/roles/src/placer/placing.rs
+++ b/crates/roles/src/placer/placing.rs
@@ -125,8 +125,12 @@
             records::fetch(self.node.clone(), self.messages.clone(), name.clone());
         }
         if let Some((key, cells, guaranteed)) = self.starting.remove(&name) {
+            let job = self.scheduler.job(key);
+            let stopped = job.is_some_and(|j| j.state == JobState::Stopping);
             match stored {
                 Some(stored) => self.start_gang(key, &cells, guaranteed, &stored),
+                // Its stop found no gang while the record was being written.
+                None if stopped => self.scheduler.released(key),
                 None => self.scheduler.requeue_lost(key),
             }
             self.dirty = true;
@@ -195,7 +199,7 @@
         let event = match reason {
             "finished" => Event::JobFinished,
             "cancelled" => Event::JobCancelled,
-            "worker lost" | "member failed" => Event::JobRequeued,
+            "worker lost" | "member failed" | "domain evacuated" => Event::JobRequeued,
             _ => Event::JobPreempted,
         };
         let (job, account) = (gang.job.clone(), gang.account.clone());
@@ -203,10 +207,17 @@
     }
 
     /// Sends the due commands of all gangs, and asks for the reports that are due.
+    ///
+    /// Commands that would start a member on a worker closed to new work are left out, and are
+    /// due again in the next step.
     pub(super) fn send_orders(&mut self, now: Duration) {
         let mut batches: HashMap<usize, Vec<SentCommand>> = HashMap::new();
+        let closed: Vec<bool> = (0..self.links.len()).map(|l| self.is_closed(l)).collect();
         for (job, gang) in &mut self.gangs {
             for (member, command) in gang.run.poll(now) {
+                if gang.starts_member(member, command) && closed[gang.members[member].link] {
+                    continue;
+                }
                 let sent = SentCommand {
                     job: *job,
                     member,
--- a/crates/roles/src/sidecar/forward.rs
+++ b/crates/roles/src/sidecar/forward.rs
@@ -144,10 +144,24 @@
         state.upstream.take_if(|u| u.leaving);
     }
 
-    /// Removes the upstream when its announcements stop; runs until the process stops.
+    /// Rejects the requests that wait for a slot if the domain is evacuated.
+    fn reject_waiting(&self) {
+        if !self.node.is_evacuated() {
+            return;
+        }
+        let mut state = self.state.borrow_mut();
+        for (id, waiter) in std::mem::take(&mut state.waiters) {
+            state.admission.cancel(id);
+            let _ = waiter.send(false);
+        }
+    }
+
+    /// Removes the upstream when its announcements stop, and the waiting requests when the
+    /// domain is evacuated; runs until the process stops.
     pub async fn expire_upstream(self: Rc<Self>) {
         while !self.node.stop.is_raised() {
             compio::time::sleep(ANNOUNCEMENT_TIMEOUT / 4).await;
+            self.reject_waiting();
             let now = self.node.clock.now();
             let mut state = self.state.borrow_mut();
             let is_expired =
@@ -332,6 +346,18 @@
         Ok(())
     }
 
+    /// Rejects a request that waited for a slot if the domain is evacuated.
+    ///
+    /// Requests that need not wait are left to the gateways, which know of a cancellation
+    /// before the sidecar does and would spend their retries on its refusals.
+    fn reject_if_evacuated(&self) -> Result<(), ForwardReply> {
+        if !self.node.is_evacuated() {
+            return Ok(());
+        }
+        let detail = "the failure domain of the upstream is evacuated";
+        Err(ForwardReply::failure(Code::NoUpstream, detail))
+    }
+
     async fn wait_and_run(&self, request: &ForwardRequest) -> ForwardReply {
         let now = self.node.clock.now();
         let deadline = now + Duration::from_millis(request.remaining_ms.into());
@@ -346,6 +372,10 @@
                 if let Err(reply) = self.wait(id, deadline).await {
                     return reply;
                 }
+                if let Err(reply) = self.reject_if_evacuated() {
+                    self.release_slot();
+                    return reply;
+                }
             }
             Offer::Full => {
                 return ForwardReply::failure(Code::Overloaded, Code::Overloaded.meaning());
@@ -370,6 +400,7 @@
         if granted {
             return Ok(());
         }
+        self.reject_if_evacuated()?;
         Err(ForwardReply::failure(
             Code::DeadlinePassed,
             Code::DeadlinePassed.meaning(),
--- a/tests/testsuite/cluster.rs
+++ b/tests/testsuite/cluster.rs
@@ -45,6 +45,7 @@
     workers: usize,
     keep_ms: u64,
     limits: Option<Value>,
+    domains: &'static [&'static str],
 }
 
 impl ClusterBuilder {
@@ -57,9 +58,16 @@
             workers: 2,
             keep_ms: 3_600_000,
             limits: None,
+            domains: &["qc-montreal"],
         }
     }
 
+    /// Sets the failure domains, assigned in turn to the processes of each kind.
+    pub fn domains(mut self, domains: &'static [&'static str]) -> Self {
+        self.domains = domains;
+        self
+    }
+
     /// Sets the setting `timing.keep_ms`, the time for which ended jobs are retained.
     pub fn keep_ms(mut self, keep_ms: u64) -> Self {
         self.keep_ms = keep_ms;
@@ -118,6 +126,7 @@
             last_port: BASE_PORT,
             keep_ms: self.keep_ms,
             limits: None,
+            domains: self.domains,
             processes: BTreeMap::new(),
             addrs: BTreeMap::new(),
         };
@@ -144,6 +153,7 @@
     keep_ms: u64,
     /// The section `limits` of the settings, if there is one.
     pub limits: Option<Value>,
+    domains: &'static [&'static str],
     processes: BTreeMap<String, Process>,
     /// The HTTP address of each process, by its name.
     addrs: BTreeMap<String, SocketAddr>,
@@ -187,7 +197,7 @@
                 "--rack",
                 &rack,
                 "--domain",
-                "qc-montreal",
+                self.domains[i % self.domains.len()],
             ],
         );
     }
@@ -219,7 +229,7 @@
         let name = format!("{role}-{i}");
         let http = self.reserve(&name);
         let mut settings = json!({
-            "name": name, "region": "quebec", "domain": "qc-montreal",
+            "name": name, "region": "quebec", "domain": self.domains[i % self.domains.len()],
             "http": http, "peer": self.next_addr(), "store": self.addr("store"),
             "secret": "a secret for tests only", "workers": workers,
             "timing": {
@@ -335,6 +345,12 @@
             .is_some()
     }
 
+    /// Returns how many requests ran at one upstream, over all its incarnations.
+    pub fn runs_at(&self, upstream: usize) -> usize {
+        let journal = fs::read_to_string(self.journal_path(upstream)).unwrap_or_default();
+        journal.lines().count()
+    }
+
     /// Sends a signal to a process.
     pub fn signal(&self, name: &str, signal: &str) {
         let pid = self.processes[name].child.id().to_string();
@@ -383,6 +399,19 @@
         }
     }
 
+    /// Edits the settings file of a gateway or sidecar, which it reads when it starts again.
+    pub fn edit_settings(&self, name: &str, edit: impl FnOnce(&mut Value)) {
+        let mut settings = self.settings(name);
+        edit(&mut settings);
+        self.write_file(&format!("{name}.jsonc"), &settings.to_string());
+    }
+
+    /// Returns the settings of a gateway or sidecar.
+    pub fn settings(&self, name: &str) -> Value {
+        let text = fs::read_to_string(self.dir.join(format!("{name}.jsonc")));
+        serde_json::from_str(&text.expect("the settings exist")).expect("the settings are JSON")
+    }
+
     /// Starts a killed or stopped process again with the same arguments.
     pub fn restart(&mut self, name: &str) {
         let args = self.processes[name].args.clone();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod explain;
 mod failures;
 mod fleet;
+mod fleet_evacuation;
 #[expect(
     dead_code,
     reason = "some functions are used by the tests of clients only"
