--- a/crates/adapters/src/http/server.rs
+++ b/crates/adapters/src/http/server.rs
@@ -122,6 +122,8 @@
 /// might never see the answer.
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+/// For how long they are discarded once the server is closing, which must not be delayed.
+const STOP_DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
 /// The first and the longest delay after a connection could not be accepted.
 const MIN_ACCEPT_DELAY: Duration = Duration::from_millis(10);
 const MAX_ACCEPT_DELAY: Duration = Duration::from_secs(1);
@@ -366,12 +368,18 @@
     };
     let mut stream = http.into_parts().io;
     connection.enter(Phase::Closing);
-    if poll_fn(|cx| hyper::rt::Write::poll_shutdown(Pin::new(&mut stream), cx))
-        .await
-        .is_ok()
-        && connection.is_refused()
-    {
-        let _ = timeout(DISCARD_TIMEOUT, discard(&mut stream)).await;
+    let shut_down = poll_fn(|cx| hyper::rt::Write::poll_shutdown(Pin::new(&mut stream), cx));
+    if shut_down.await.is_err() || !connection.is_refused() {
+        return;
+    }
+    let limit = match is_closing {
+        true => STOP_DISCARD_TIMEOUT,
+        false => DISCARD_TIMEOUT,
+    };
+    let discard = pin!(timeout(limit, discard(&mut stream)));
+    match is_closing {
+        true => drop(discard.await),
+        false => drop(select(discard, close).await),
     }
 }
 
--- a/crates/coordination/src/client_budget.rs
+++ b/crates/coordination/src/client_budget.rs
@@ -406,7 +406,7 @@
                 };
                 let by_source = self.sources.get(&(class, c.source)).copied();
                 let by_source = std::cmp::Reverse(by_source.unwrap_or(0));
-                (rank, by_source, c.source, c.progress, *id)
+                (rank, by_source, c.progress, *id)
             })
             .collect();
         found.sort_unstable();
