--- a/crates/adapters/src/clients/mod.rs
+++ b/crates/adapters/src/clients/mod.rs
@@ -226,12 +226,13 @@
     /// that is before the deadline. Without `for_all`, only those that are closing count.
     async fn wait_for_stall(&self, class: Class, for_all: bool, deadline: Duration) -> bool {
         let now = self.inner.clock.now();
-        let budget = self.inner.budget.borrow();
-        let stall = match for_all {
-            true => budget.next_stall(now, class),
-            false => budget.next_closing(now, class),
+        let stall = {
+            let budget = self.inner.budget.borrow();
+            match for_all {
+                true => budget.next_stall(now, class),
+                false => budget.next_closing(now, class),
+            }
         };
-        drop(budget);
         let Some(stall) = stall.filter(|stall| *stall < deadline) else {
             return false;
         };
