--- a/crates/adapters/tests/rpc.rs
+++ b/crates/adapters/tests/rpc.rs
@@ -261,7 +261,7 @@
     /// Returns the value of the metric whose line begins with `prefix`.
     fn metric(&self, prefix: &str) -> u64 {
         let text = String::from_utf8(self.metrics.render()).expect("the metrics are text");
-        let line = text.lines().find(|line| line.starts_with(&prefix));
+        let line = text.lines().find(|line| line.starts_with(prefix));
         let value = line.and_then(|line| line.rsplit(' ').next());
         value
             .and_then(|v| v.parse().ok())
