Do not close a small request that waits for memory

It is quiet while it waits, for no fault of its client, and counted as stalled: an ordinary request was closed without an answer in about one of twelve runs of unfinished_bodies_make_way_for_ordinary_requests.

--- a/crates/adapters/src/clients/mod.rs
+++ b/crates/adapters/src/clients/mod.rs
@@ -401,12 +401,15 @@
         if size == Size::Large {
             return held;
         }
-        // A small request is worth a short wait for connections that have just gone quiet.
+        // A small request is worth a short wait for connections that have just gone quiet. It
+        // is quiet itself meanwhile, for no fault of its client, and must not make way.
         let deadline = self.now() + STALL_GRACE + STALL_SLACK;
-        let (limiter, class) = (&self.limiter, self.class);
+        let (limiter, class, phase) = (&self.limiter, self.class, self.phase.get());
+        self.enter(Phase::Handling);
         while held.is_err() && limiter.wait_for_stall(class, true, deadline).await {
             held = Self::wait_for_room(|cx| self.poll_hold(cx, bytes, size)).await;
         }
+        self.enter(phase);
         held
     }
 
