--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod announced;
 mod capacity;
 mod crashes;
+mod decisions;
 mod departures;
 mod features;
 mod figures;
