Learn expected run times from finished runs

A table of bounded sketches by queue, account, shape and step and by wider keys, with the declared time as the prior. Runs that were cut short spread their weight over longer times. Accounts have at most one unit of weight in keys over all accounts. hdrhistogram was considered and left out: it counts in integers, so old runs cannot fade, and a key takes several times the memory.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod lease;
 pub mod membership;
 pub mod retry_after;
+pub mod runtime;
 pub mod succession;
 
 /// Runs the examples of the guide as documentation tests of this crate.
--- a/crates/coordination/tests/suite/main.rs
+++ b/crates/coordination/tests/suite/main.rs
@@ -9,4 +9,5 @@
 mod membership;
 mod parts;
 mod retry_after;
+mod runtime;
 mod succession;
