Use learned run times in the fleet's ledger, each use behind a switch

The table learns from ends, stops and losses; the uses are order, backfill, placement, preemption and stall.

--- a/crates/fleet/src/ledger/ends.rs
+++ b/crates/fleet/src/ledger/ends.rs
@@ -7,6 +7,7 @@
 use crate::record::Crashes;
 use crate::worker::End;
 use crate::worker::Ended;
+use hibiscusbarrow_coordination::runtime::Outcome;
 use smol_str::SmolStr;
 use std::time::Duration;
 
@@ -44,6 +45,14 @@
         self.note(Decision::Ended, id, &account, detail);
         self.store_checkpoint(id, key, &ended.checkpoint);
         self.record_health(sidecar, id, ended.end, now);
+        if let Some(run) = &run {
+            let outcome = match ended.end {
+                End::Done => Outcome::Done,
+                End::Failed => Outcome::Failed,
+                _ => Outcome::Cut,
+            };
+            self.learn_from_end(id, key, run, outcome, now);
+        }
         if let Some(run) = run.filter(|r| r.phase == Phase::Live && ended.end == End::Done) {
             self.update_speed(id, key, &run, now);
         }
@@ -162,6 +171,9 @@
         if run.phase == Phase::Planned {
             self.uncount_try(id, key);
         }
+        let last_contact = self.workers.get(&run.sidecar).and_then(|w| w.last_contact);
+        let seen_until = last_contact.unwrap_or(run.phase_since);
+        self.learn_from_end(id, key, &run, Outcome::Cut, seen_until);
         let worker = self.workers.get(&run.sidecar);
         let lease = worker.map(|w| w.lease_end.saturating_sub(now));
         let detail = format!(
--- a/crates/fleet/src/ledger/fit.rs
+++ b/crates/fleet/src/ledger/fit.rs
@@ -4,6 +4,7 @@
 use super::Ledger;
 use super::Phase;
 use super::TaskKey;
+use super::learned::Expected;
 use super::plan::BEYOND_GUARANTEE;
 use super::plan::GUARANTEED;
 use super::policy::ApprovalState;
@@ -58,6 +59,10 @@
     has_lasting: bool,
     /// Whether the worker is reserved for a task that waits for it.
     pub(super) reserved: bool,
+    /// When the reservation can be used at the earliest; tasks that end before may still start.
+    pub(super) needed_in: Duration,
+    /// Whether tasks prefer the worker if it is fast, also those that are not urgent.
+    ranks_speed: bool,
     /// The number of runs on the worker.
     runs: usize,
     /// The starts that are planned for the worker or that it has not answered, and the most.
@@ -94,6 +99,8 @@
     pub(super) spare: bool,
     /// How long the step has been ready.
     pub(super) waited: Duration,
+    /// What is expected of its tasks, and its place within the class.
+    pub(super) expected: Expected,
 }
 
 impl Candidate {
@@ -102,6 +109,11 @@
         self.class <= BEYOND_GUARANTEE
     }
 
+    /// Returns whether its tasks most likely end within a time.
+    pub(super) fn ends_before(&self, limit: Duration) -> bool {
+        !limit.is_zero() && self.expected.times.is_some_and(|t| t.p90 < limit)
+    }
+
     /// Returns whether all tasks may start on trial only.
     pub(super) fn is_trial(&self) -> bool {
         !self.suspects.is_empty() && self.indices.iter().all(|i| self.is_suspect(*i))
@@ -152,6 +164,7 @@
         self.excess = Resources::default();
         self.take(&lasting);
         self.vacant = !self.on_trial && !self.has_lasting;
+        self.needed_in = Duration::ZERO;
         self.admit_all_starts();
     }
 
@@ -250,6 +263,8 @@
                 lasting: Resources::default(),
                 has_lasting: false,
                 reserved: false,
+                needed_in: Duration::ZERO,
+                ranks_speed: self.learned_times().placement,
                 runs: 0,
                 open_starts: 0,
                 max_starts: worker.starts.limit(),
@@ -364,7 +379,7 @@
                     let former = former_trials.iter().find(|(i, ..)| i == slot_index);
                     step.gang && former.is_some_and(|(_, vacant, _)| *vacant)
                 };
-                !slot.reserved
+                (!slot.reserved || candidate.ends_before(slot.needed_in))
                     && slot.free.covers(&required)
                     && (step.gang || slot.admits_start(own_starts(), candidate.spare))
                     && (slot.admits(candidate, *index) || beside_member())
@@ -524,7 +539,7 @@
     let far = !step.rack.is_empty() && slot.rack != step.rack;
     let unreliable = slot.suspect || entry.avoided.contains(&slot.sidecar);
     let apart = step.gang && !placed.is_empty() && !placed.iter().any(|(_, p)| *p == slot_index);
-    let slowness = if candidate.is_urgent() {
+    let slowness = if candidate.is_urgent() || slot.ranks_speed {
         slot.slowness
     } else {
         0
--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -15,6 +15,7 @@
 mod ends;
 mod fit;
 mod health;
+mod learned;
 mod listing;
 mod orders;
 mod pace;
@@ -28,6 +29,7 @@
 mod supervise;
 mod writes;
 
+pub use learned::LearnedTimes;
 pub use policy::ApprovalRequest;
 pub use writes::Batch;
 pub use writes::Write;
@@ -190,6 +192,10 @@
     stalls: HashMap<TaskKey, u32>,
     /// How far the declared run times were off, by occurrence and step.
     biases: HashMap<(u32, u32), speed::Bias>,
+    /// What is expected of the steps; none until the job has had tasks to start.
+    outlook: Option<learned::Outlook>,
+    /// How often runs of the job were preempted.
+    preemptions: u32,
 }
 
 /// A worker and its last known state.
@@ -349,6 +355,7 @@
     planned_at: Duration,
     /// Since when workers of each service were last reserved while it was mostly idle.
     reserving_since: HashMap<SmolStr, Duration>,
+    learning: learned::Learning,
 }
 
 impl Ledger {
@@ -370,6 +377,7 @@
             requests: policy::Requests::default(),
             planned_at: now,
             reserving_since: HashMap::new(),
+            learning: learned::Learning::default(),
         }
     }
 
@@ -569,6 +577,8 @@
             crash_seen,
             stalls: HashMap::new(),
             biases: HashMap::new(),
+            outlook: None,
+            preemptions: 0,
         }
     }
 
--- a/crates/fleet/src/ledger/plan.rs
+++ b/crates/fleet/src/ledger/plan.rs
@@ -10,6 +10,7 @@
 use super::fit::Candidate;
 use super::fit::Demand;
 use super::fit::Slot;
+use super::learned::Expected;
 use super::policy::ApprovalState;
 use super::task_id;
 use crate::record::Placement;
@@ -67,6 +68,7 @@
         self.expire_runs(now);
         self.stop_stalled(now);
         self.save_checkpoints(now);
+        self.watch_run_times(now);
         self.planned_at = now;
         let classes = self.classes();
         let mut slots = self.slots(now);
@@ -86,7 +88,8 @@
             let areas = self.areas(&candidate, &slots, now);
             let demand = self.unconstrained_demand(&candidate);
             let known_unfit = |d: &Demand| unmet.iter().any(|u| d.covers(u));
-            let candidate = if demand.as_ref().is_some_and(known_unfit) {
+            let may_backfill = slots.iter().any(|s| candidate.ends_before(s.needed_in));
+            let candidate = if demand.as_ref().is_some_and(known_unfit) && !may_backfill {
                 candidate
             } else {
                 let wanted = candidate.indices.len();
@@ -210,9 +213,10 @@
                     let deadline = job.deadline(occurrence);
                     let path = job.critical_path(step_index as usize);
                     let remaining = path.saturating_mul(MIN_RUNTIME_PERCENT) / 100;
+                    let late = wall.saturating_add(remaining) > deadline;
                     found.push(Candidate {
                         class: *class,
-                        late: wall.saturating_add(remaining) > deadline,
+                        late,
                         deadline,
                         accepted_at: job.accepted_at,
                         job: id.clone(),
@@ -223,6 +227,7 @@
                         impatient: Vec::new(),
                         spare: false,
                         waited: now.saturating_sub(since),
+                        expected: Expected::by_deadline(late, deadline),
                     });
                 }
                 waiting += usize::from(found.len() > found_before);
@@ -235,8 +240,9 @@
                 found.extend(entry.split_suspects(candidate, service_is_idle, now));
             }
         }
+        self.expect(&mut found, now, wall);
         found.sort_by(|a, b| {
-            let urgency = |c: &Candidate| (c.order(), c.late, c.deadline, c.accepted_at);
+            let urgency = |c: &Candidate| (c.order(), c.expected.turn, c.accepted_at);
             let name = |c: &Candidate| (c.job.clone(), c.occurrence, c.step);
             urgency(a)
                 .cmp(&urgency(b))
@@ -252,7 +258,8 @@
     fn areas(&self, candidate: &Candidate, slots: &[Slot], now: Duration) -> Vec<Area> {
         let entry = &self.jobs[&candidate.job];
         let step = &entry.record.job.steps[candidate.step as usize];
-        let max_wait = Duration::from_millis(step.runtime).min(MAX_LOCALITY_WAIT);
+        let run_time = self.placement_time(candidate, step);
+        let max_wait = run_time.min(MAX_LOCALITY_WAIT);
         let may_wait = candidate.waited < max_wait;
         let on_one_rack = step.gang && step.same_rack && step.count > 1;
         if !on_one_rack && step.rack.is_empty() {
@@ -355,6 +362,7 @@
         }
         let account = entry.record.job.account.clone();
         let mut detail = format!("class={} waited={:?}", candidate.class, candidate.waited);
+        detail += &candidate.expected.detail();
         let mut planned = Vec::new();
         for ((index, placement), number) in placed.into_iter().zip(numbers) {
             let key = (occurrence, step, index);
@@ -447,8 +455,10 @@
             if placed.is_empty() {
                 continue;
             }
+            let needed_in = self.reservation_start(candidate, &placed, slots, now);
             for (_, slot_index) in placed {
                 slots[slot_index].reserved = true;
+                slots[slot_index].needed_in = needed_in;
                 slots[slot_index].on_trial |= candidate.is_trial();
             }
             return true;
--- a/crates/fleet/src/ledger/preempt.rs
+++ b/crates/fleet/src/ledger/preempt.rs
@@ -33,6 +33,8 @@
 struct Preemption {
     /// The work that the stops discard, in core-seconds.
     cost: u64,
+    /// The number of victims whose job was preempted before.
+    repeats: u64,
     /// The runs to stop.
     victims: BTreeSet<RunKey>,
     /// The workers as they are once the victims have ended and the tasks are placed.
@@ -60,7 +62,8 @@
             .iter()
             .filter_map(|a| self.plan_preemption(candidate, classes, slots, a, now));
         let affordable = options.filter(|o| o.cost <= budget);
-        let Some(chosen) = affordable.min_by_key(|o| (Reverse(o.used.len()), o.cost)) else {
+        let Some(chosen) = affordable.min_by_key(|o| (Reverse(o.used.len()), o.repeats, o.cost))
+        else {
             return false;
         };
         *slots = chosen.slots;
@@ -71,6 +74,9 @@
             let detail = format!("task={key:?} for={} cost={}", candidate.job, chosen.cost);
             let account = self.account_of(&id);
             self.note(Decision::Preempted, &id, &account, detail);
+            if let Some(entry) = self.jobs.get_mut(&id) {
+                entry.preemptions += 1;
+            }
             self.stop_run(&id, key, "preempted", now);
         }
         true
@@ -109,7 +115,7 @@
             .iter()
             .filter(|i| !candidate.is_suspect(**i));
         for index in certain {
-            let mut best: Option<(u64, usize, BTreeSet<RunKey>)> = None;
+            let mut best: Option<((u64, u64), usize, BTreeSet<RunKey>)> = None;
             for (slot_index, slot) in plan.slots.iter().enumerate() {
                 let suitable = in_area(slot, area)
                     && !slot.on_trial
@@ -120,7 +126,12 @@
                 if !suitable {
                     continue;
                 }
-                let found = self.victims(candidate, classes, slot, &required, &plan.victims, now);
+                // What becomes free without a stop was given to an earlier task of the plan.
+                let mut slot = slot.clone();
+                if !plan.used.contains(&slot_index) {
+                    self.release_ending(candidate, &mut slot, now);
+                }
+                let found = self.victims(candidate, classes, &slot, &required, &plan.victims, now);
                 let Some((cost, victims)) = found else {
                     continue;
                 };
@@ -128,13 +139,14 @@
                     best = Some((cost, slot_index, victims));
                 }
             }
-            let Some((cost, slot_index, victims)) = best else {
+            let Some(((repeats, cost), slot_index, victims)) = best else {
                 if step.gang {
                     return None;
                 }
                 break;
             };
             plan.cost = plan.cost.saturating_add(cost);
+            plan.repeats += repeats;
             self.release_victims(&mut plan, victims);
             reserve_freeing(&mut plan.slots[slot_index], &required);
             plan.used.push(slot_index);
@@ -144,7 +156,7 @@
     }
 
     /// Returns the cheapest runs on a worker whose end frees the capacity for a task,
-    /// and their cost.
+    /// and their cost, after the number of runs among them whose job was preempted before.
     ///
     /// Skips the runs in `chosen`, which the plan stops already. Long-running tasks are stopped
     /// only for a guarantee, and not where their step limits disruptions.
@@ -156,13 +168,14 @@
         required: &Resources,
         chosen: &BTreeSet<RunKey>,
         now: Duration,
-    ) -> Option<(u64, BTreeSet<RunKey>)> {
+    ) -> Option<((u64, u64), BTreeSet<RunKey>)> {
         let mut slot_after = slot.clone();
         let mut victims = BTreeSet::new();
         if slot_after.will_cover(required) {
-            return Some((0, victims));
+            return Some(((0, 0), victims));
         }
-        let mut options: Vec<(u64, Resources, BTreeSet<RunKey>)> = Vec::new();
+        let ending = self.ending_runs(candidate, slot, now);
+        let mut options = Vec::new();
         for (id, key, phase) in self.runs_on(&slot.sidecar, |_| true) {
             let run = (id.clone(), key);
             let lower = classes.get(&id).is_none_or(|c| *c > candidate.class);
@@ -172,15 +185,18 @@
                 let for_guarantee = candidate.class == GUARANTEED;
                 step.long_running && (!for_guarantee || step.max_disruptions.is_some())
             });
-            if chosen.contains(&run) || !lower || !active || is_protected {
+            let is_ending = ending.iter().any(|(ending, _)| *ending == run);
+            if chosen.contains(&run) || !lower || !active || is_protected || is_ending {
                 continue;
             }
             let (cost, members) = self.cost_of(&id, key, now);
-            options.push((cost, required_resources(self.jobs[&id].step(key)), members));
+            let freed = required_resources(self.jobs[&id].step(key));
+            let rank = self.victim_rank(&id, key, cost, &freed);
+            options.push((rank, cost, freed, members));
         }
-        options.sort_by_key(|o| o.0 / (1 + o.1.gpus));
-        let mut total: u64 = 0;
-        for (cost, freed, members) in options {
+        options.sort_by_key(|o| o.0);
+        let (mut total, mut repeats): (u64, u64) = (0, 0);
+        for (rank, cost, freed, members) in options {
             if slot_after.will_cover(required) {
                 break;
             }
@@ -189,9 +205,11 @@
             }
             slot_after.release(&freed);
             total = total.saturating_add(cost);
+            repeats += u64::from(rank.is_repeat);
             victims.extend(members);
         }
-        slot_after.will_cover(required).then_some((total, victims))
+        let covers = slot_after.will_cover(required);
+        covers.then_some(((repeats, total), victims))
     }
 
     /// Returns the core-seconds that a stop discards, and all runs that it ends: of a
--- a/crates/fleet/src/ledger/speed.rs
+++ b/crates/fleet/src/ledger/speed.rs
@@ -41,6 +41,11 @@
         self.slowness += residual / (self.tasks + PRIOR_TASKS);
     }
 
+    /// Returns the run time relative to that on an average worker.
+    pub(super) fn factor(&self) -> f64 {
+        self.slowness.exp()
+    }
+
     /// Returns the slowness in units of `BUCKET`; 0 for an average worker.
     pub(super) fn bucket(&self) -> i64 {
         (self.slowness / BUCKET).round() as i64
--- a/crates/fleet/src/ledger/supervise.rs
+++ b/crates/fleet/src/ledger/supervise.rs
@@ -1,5 +1,6 @@
 //! Periodic checks of runs: expired leases, stalls, and checkpoints to save.
 
+use super::Entry;
 use super::Ledger;
 use super::Phase;
 use super::Run;
@@ -122,7 +123,8 @@
                 let last_contact = self.workers.get(&run.sidecar).and_then(|w| w.last_contact);
                 let stalls = entry.stalls.get(key).copied().unwrap_or(0);
                 // A task that stalls everywhere may just report its progress more seldom.
-                let timeout = stall_timeout(step, run) * (1 << stalls.min(MAX_STALL_DOUBLINGS));
+                let timeout =
+                    self.stall_timeout(entry, *key, run) * (1 << stalls.min(MAX_STALL_DOUBLINGS));
                 let is_stalled = last_contact.is_some_and(|at| at > run.progressed_at + timeout);
                 let slowed = step.best_effort && run.pace_percent < 100;
                 if run.phase == Phase::Live && run.percent < 100 && is_stalled && !slowed {
@@ -146,8 +148,17 @@
     }
 }
 
-/// Returns the time without progress after which a run is stalled.
-fn stall_timeout(step: &Step, run: &Run) -> Duration {
+impl Ledger {
+    /// Returns the time without progress after which a run is stalled.
+    fn stall_timeout(&self, entry: &Entry, key: TaskKey, run: &Run) -> Duration {
+        let learned = self.learned_stall_timeout(entry, key);
+        let within = |t: Duration| t.clamp(MIN_STALL_TIMEOUT, LONGEST_STALL_TIMEOUT);
+        learned.map_or_else(|| declared_stall_timeout(entry.step(key), run), within)
+    }
+}
+
+/// Returns the time without progress after which a run is stalled, by its declared run time.
+fn declared_stall_timeout(step: &Step, run: &Run) -> Duration {
     let share = |permille: u32| {
         let millis = step.runtime.saturating_mul(permille.into()) / 1_000;
         Duration::from_millis(millis).min(LONGEST_STALL_TIMEOUT)
