--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -84,6 +84,9 @@
     StrayBlocked = 1708, "A start for a former life of a worker, which got no answer, was blocked in the present one.";
     WorkerHeld = 1709, "A worker may forget ends that nobody has seen; it is left out until it starts again, if enough others remain.";
     EndsKept = 1710, "A sidecar answers a poll with the last ends of a worker that drained and no longer answers.";
+    RunTimesRead = 1711, "The placer read the run times that the last one had learned.";
+    RunTimesIgnored = 1712, "The stored run times cannot be used; declared times are used until runs have ended.";
+    RunTimesStored = 1713, "The placer stored the learned run times; the line names the most frequent kinds of tasks.";
     StoreDown = 1801, "The key-value service stopped answering.";
     StoreBack = 1802, "The key-value service answers again.";
     MirrorReset = 1803, "The store no longer has the history needed; its content is read again.";
--- a/crates/roles/src/fleet/keys.rs
+++ b/crates/roles/src/fleet/keys.rs
@@ -6,6 +6,9 @@
 /// The key of the placer's claim, which is bound to its lease.
 pub const PLACER_KEY: &str = "hibiscusbarrow/placer";
 
+/// The key of the run times that the placers have learned.
+pub const RUN_TIMES_KEY: &str = "hibiscusbarrow/run-times";
+
 const JOB_PREFIX: &str = "hibiscusbarrow/job/";
 const WORKER_PREFIX: &str = "hibiscusbarrow/worker/";
 /// The prefix of the keys of gateways' registrations.
--- a/crates/roles/src/fleet/placer.rs
+++ b/crates/roles/src/fleet/placer.rs
@@ -14,6 +14,8 @@
 use super::notify::Notifier;
 use super::port::Item;
 use super::port::PolicyService;
+use super::run_times;
+use super::run_times::SummarySchedule;
 use super::status::StatusClient;
 use bytes::Bytes;
 use compio::time::sleep;
@@ -23,6 +25,7 @@
 use futures_util::future::select;
 use hibiscusbarrow_adapters::rpc::RpcClient;
 use hibiscusbarrow_coordination::duty_cycle::DutyCycle;
+use hibiscusbarrow_coordination::runtime::RunTimes;
 use hibiscusbarrow_fleet::ledger::ApprovalRequest;
 use hibiscusbarrow_fleet::ledger::Batch;
 use hibiscusbarrow_fleet::ledger::Decision;
@@ -73,6 +76,10 @@
     BatchCommitted(Batch, CommitResult),
     /// The answer of the policy service, and when it was requested.
     ApprovalsReceived(ApprovalRequest, Duration, Option<Vec<(SmolStr, SmolStr)>>),
+    /// The run times that the last placer had learned were read; none if there are no usable ones.
+    RunTimesRead(Option<RunTimes>),
+    /// A write of the learned run times ended.
+    RunTimesWritten,
 }
 
 /// What a placer uses of its gateway.
@@ -123,6 +130,8 @@
     plan_cycle: DutyCycle,
     /// When the gauges were last updated.
     gauges_set_at: Duration,
+    /// When the learned run times are written.
+    summaries: SummarySchedule,
 }
 
 /// Places jobs until the lease is lost or the process stops.
@@ -144,7 +153,8 @@
         policy: services.policy.clone(),
         notifier: services.notifier.clone(),
         lease: lease.clone(),
-        ledger: Ledger::new(shared.settings.bounds, lease.epoch, now),
+        ledger: Ledger::new(shared.settings.bounds, lease.epoch, now)
+            .with_learned_times(shared.settings.learned_times),
         sender,
         writing: false,
         open_orders: 0,
@@ -158,8 +168,10 @@
         planned_at: now,
         plan_cycle: DutyCycle::default(),
         gauges_set_at: now,
+        summaries: SummarySchedule::new(now),
     };
     placer.load();
+    placer.read_run_times();
     loop {
         while let Ok(change) = changes.try_recv() {
             placer.handle_input(Input::StoreChanged(change));
@@ -212,7 +224,11 @@
 
     fn handle_input(&mut self, input: Input) {
         let now = self.shared.clock.now();
-        self.needs_plan |= !matches!(input, Input::Polled(..) | Input::PollDue(_));
+        let changes_nothing = matches!(
+            input,
+            Input::Polled(..) | Input::PollDue(_) | Input::RunTimesWritten
+        );
+        self.needs_plan |= !changes_nothing;
         match input {
             Input::StoreChanged(change) => self.handle_change(change, now),
             Input::Polled(sidecar, sent, answer) => {
@@ -228,6 +244,12 @@
             Input::ApprovalsReceived(request, sent, answer) => {
                 self.ledger.handle_approvals(&request, sent, now, answer);
             }
+            Input::RunTimesRead(times) => {
+                if let Some(times) = times {
+                    self.ledger.set_run_times(times);
+                }
+            }
+            Input::RunTimesWritten => self.summaries.writing = false,
         }
     }
 
@@ -278,8 +300,12 @@
             return false;
         }
         let now = self.shared.clock.now();
+        let is_first = self.ending_since.is_none();
         let since = *self.ending_since.get_or_insert(now);
-        let idle = !self.writing && self.open_orders == 0;
+        if is_first {
+            self.write_run_times(now);
+        }
+        let idle = !self.writing && self.open_orders == 0 && !self.summaries.writing;
         idle || now >= since + MAX_WIND_DOWN
     }
 
@@ -287,6 +313,9 @@
     fn advance(&mut self) {
         let now = self.shared.clock.now();
         self.publish_gauges(now);
+        if self.summaries.is_due(now) {
+            self.write_run_times(now);
+        }
         let wall = self.shared.clock.wall_ms();
         let may_plan =
             self.ending_since.is_none() && self.lease.is_held(now) && self.plan_cycle.may_run(now);
@@ -338,6 +367,41 @@
         metrics.set_gauge("accelerators_free", summary.gpus_free);
         metrics.set_gauge("accelerators_usable", summary.gpus_usable);
         metrics.set_gauge("placer_epoch", self.lease.epoch);
+        if self.ledger.learned_times().any() {
+            run_times::publish(metrics, self.ledger.run_times());
+        }
+    }
+
+    /// Reads what the last placer has learned, if learned run times are used. Jobs are placed by
+    /// declared times meanwhile.
+    fn read_run_times(&mut self) {
+        if !self.ledger.learned_times().any() {
+            return;
+        }
+        let (shared, sender) = (self.shared.clone(), self.sender.clone());
+        compio::runtime::spawn(async move {
+            let times = run_times::read(&shared).await;
+            let _ = sender.unbounded_send(Input::RunTimesRead(times));
+        })
+        .detach();
+    }
+
+    /// Writes what was learned, unless nothing was since the last write.
+    fn write_run_times(&mut self, now: Duration) {
+        let times = self.ledger.run_times();
+        let is_used = self.ledger.learned_times().any();
+        if !is_used || !self.summaries.begin(times.changes(), now) {
+            return;
+        }
+        let max_bytes = self.shared.settings.bounds.max_record;
+        let (summary, detail) = (times.summary(max_bytes), run_times::describe(times));
+        let (shared, lease) = (self.shared.clone(), self.lease.clone());
+        let sender = self.sender.clone();
+        compio::runtime::spawn(async move {
+            run_times::write(&shared, lease.epoch, summary, detail).await;
+            let _ = sender.unbounded_send(Input::RunTimesWritten);
+        })
+        .detach();
     }
 
     fn log_decision(&self, note: Note) {
--- a/crates/roles/src/fleet/port.rs
+++ b/crates/roles/src/fleet/port.rs
@@ -6,6 +6,7 @@
 use hibiscusbarrow_fleet::job::Step;
 use hibiscusbarrow_fleet::ledger::ApprovalRequest;
 use hibiscusbarrow_fleet::ledger::Bounds;
+use hibiscusbarrow_fleet::ledger::LearnedTimes;
 use hibiscusbarrow_fleet::manifest::Manifest;
 use hibiscusbarrow_fleet::record::State;
 use hibiscusbarrow_fleet::worker::Announcement;
@@ -48,6 +49,8 @@
     pub shutdown_timeout: Duration,
     /// Time limits that the platform guarantees.
     pub bounds: Bounds,
+    /// What learned run times are used for.
+    pub learned_times: LearnedTimes,
 }
 
 /// One item of the store.
--- a/crates/roles/tests/cache.rs
+++ b/crates/roles/tests/cache.rs
@@ -10,6 +10,7 @@
 use hibiscusbarrow_fleet::job::Job;
 use hibiscusbarrow_fleet::job::Step;
 use hibiscusbarrow_fleet::ledger::Bounds;
+use hibiscusbarrow_fleet::ledger::LearnedTimes;
 use hibiscusbarrow_fleet::record::Record;
 use hibiscusbarrow_roles::fleet::Shared;
 use hibiscusbarrow_roles::fleet::cache::StoreCache;
@@ -138,6 +139,7 @@
             max_connections: 1,
             shutdown_timeout: Duration::from_secs(1),
             bounds: Bounds::default(),
+            learned_times: LearnedTimes::default(),
         },
         clock: clock.clone(),
         log: EventLog::new("gateway", clock, logger),
