Order the product's own queue by learned run times, if switched on

Runs that were stopped and go on from their checkpoint add up to one whole run. Without the switch the moving average and the order stay as they were.

--- a/crates/model/src/settings.rs
+++ b/crates/model/src/settings.rs
@@ -40,8 +40,22 @@
     /// Intervals, lifetimes and timeouts.
     #[serde(default)]
     pub timing: Timing,
+    /// Optional parts of scheduling.
+    #[serde(default)]
+    pub scheduling: Scheduling,
+}
+
+/// Optional parts of scheduling.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Scheduling {
+    /// The uses of learned run times that are switched on.
+    pub learned_times: Vec<SmolStr>,
 }
 
+/// The uses of learned run times that the scheduler has.
+pub const LEARNED_TIMES: [&str; 1] = ["order"];
+
 /// The format of the log.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
@@ -112,6 +126,7 @@
             return Err(document.fault(Code::OutOfRange, detail, "secret"));
         }
         self.check_addresses(document)?;
+        self.scheduling.check(document)?;
         self.timing.check(document)
     }
 
@@ -137,6 +152,26 @@
     }
 }
 
+impl Scheduling {
+    /// Returns whether a use of learned run times is switched on.
+    pub fn uses(&self, name: &str) -> bool {
+        self.learned_times.iter().any(|n| n == name)
+    }
+
+    fn check(&self, document: &Document<'_>) -> Result<(), Fault> {
+        for (i, name) in self.learned_times.iter().enumerate() {
+            if !LEARNED_TIMES.contains(&name.as_str()) {
+                let known = LEARNED_TIMES.join(", ");
+                let detail =
+                    format!("unknown use of learned run times {name:?}; known are {known}");
+                let field = format!("scheduling.learned_times[{i}]");
+                return Err(document.fault(Code::UnknownName, detail, &field));
+            }
+        }
+        Ok(())
+    }
+}
+
 impl Timing {
     fn check(&self, document: &Document<'_>) -> Result<(), Fault> {
         for (field, value, min, max) in [
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -24,6 +24,7 @@
 mod shape;
 
 pub use estimate::Estimator;
+pub use estimate::JobKind;
 pub use grid::Cell;
 pub use grid::Grid;
 pub use grid::JobKey;
--- a/crates/placement/src/scheduler/mod.rs
+++ b/crates/placement/src/scheduler/mod.rs
@@ -6,6 +6,7 @@
 mod reserve;
 
 use crate::estimate::Estimator;
+use crate::estimate::JobKind;
 use crate::grid::Cell;
 use crate::grid::Grid;
 use crate::grid::JobKey;
@@ -52,6 +53,8 @@
     pub preempt_after: Option<Duration>,
     /// The number of distinct workers on which a job has to fail to be parked.
     pub max_failed_workers: usize,
+    /// Whether the response ratio uses learned run times instead of a moving average.
+    pub learned_order: bool,
 }
 
 impl Default for Policy {
@@ -64,6 +67,7 @@
             reserve_after: Some(Duration::from_secs(60)),
             preempt_after: Some(Duration::from_secs(60)),
             max_failed_workers: 3,
+            learned_order: false,
         }
     }
 }
@@ -138,6 +142,10 @@
     failed_workers: BTreeSet<WorkerKey>,
     /// Whether the job is queued again once its cells are released.
     requeue: bool,
+    /// How long earlier runs of the job took that ended in a stop.
+    ran_for: Duration,
+    /// Whether the job had started before this scheduler knew it.
+    is_adopted: bool,
     account_index: usize,
     /// The submission number, which is unique, whereas keys are reused.
     serial: u64,
@@ -166,6 +174,8 @@
             claims: Vec::new(),
             failed_workers: BTreeSet::new(),
             requeue: false,
+            ran_for: Duration::ZERO,
+            is_adopted: false,
             account_index: 0,
             serial: 0,
         }
@@ -177,6 +187,16 @@
         self
     }
 
+    /// Returns what it has in common with jobs that take about as long.
+    fn kind(&self) -> JobKind<'_> {
+        JobKind {
+            index: self.account_index,
+            account: &self.account,
+            shape: self.shape,
+            count: self.count,
+        }
+    }
+
     /// Returns the number of accelerators of the whole gang.
     pub fn accelerators(&self) -> u32 {
         self.shape.accelerators() * self.count
@@ -248,7 +268,7 @@
             claimed: Vec::new(),
             pending_stops: Vec::new(),
             usage: Vec::new(),
-            estimator: Estimator::default(),
+            estimator: Estimator::new(policy.learned_order),
             health: Health::default(),
             reservation: None,
             next_serial: 0,
@@ -379,6 +399,7 @@
             job.claims = cells.clone();
         }
         job.state = JobState::Placed;
+        job.is_adopted = true;
         job.started_at = now;
         self.usage[index] += job.accelerators();
         for cell in cells {
@@ -406,8 +427,8 @@
             return;
         };
         let runtime = now.saturating_sub(job.started_at);
-        self.estimator
-            .observe(job.account_index, job.shape, job.count, runtime);
+        let total = (!job.is_adopted).then_some(job.ran_for + runtime);
+        self.estimator.observe(job.kind(), runtime, total);
         for cell in &job.cells {
             self.health.record_success(cell.worker);
         }
--- a/crates/placement/src/scheduler/pass.rs
+++ b/crates/placement/src/scheduler/pass.rs
@@ -34,6 +34,7 @@
         self.preempt_borrowers(now);
         self.undo_starts(&mut starts);
         let mut decisions = std::mem::take(&mut self.pending_stops);
+        self.add_run_times(&decisions, now);
         self.start_claimed(&mut starts, now);
         decisions.append(&mut starts);
         decisions
@@ -52,6 +53,18 @@
         }
     }
 
+    /// Adds the run times of the gangs that are stopped and queued again, which go on from their
+    /// checkpoints.
+    fn add_run_times(&mut self, stops: &[Decision], now: Duration) {
+        for stop in stops {
+            let key = stop.job();
+            if self.job(key).is_some_and(|j| j.requeue) {
+                let job = self.job_mut(key);
+                job.ran_for += now.saturating_sub(job.started_at);
+            }
+        }
+    }
+
     fn queue_order(&self, now: Duration) -> Vec<JobKey> {
         let mut order: Vec<(bool, f64, Duration, JobKey)> = self
             .waiting
@@ -75,9 +88,7 @@
     /// Returns the sum of wait and expected run time, divided by the expected run time.
     fn response_ratio(&self, key: JobKey, now: Duration) -> f64 {
         let Some(job) = self.job(key) else { return 0.0 };
-        let expected = self
-            .estimator
-            .estimate(job.account_index, job.shape, job.count);
+        let expected = self.estimator.estimate(job.kind());
         let wait = now.saturating_sub(job.submitted_at);
         1.0 + wait.as_secs_f64() / expected.as_secs_f64()
     }
--- a/crates/roles/src/placer/task.rs
+++ b/crates/roles/src/placer/task.rs
@@ -122,7 +122,10 @@
             epoch: 0,
             resigned: false,
             generation: 0,
-            scheduler: Scheduler::new(Policy::default()),
+            scheduler: Scheduler::new(Policy {
+                learned_order: node.settings.scheduling.uses("order"),
+                ..Policy::default()
+            }),
             links,
             by_worker: HashMap::new(),
             gangs: HashMap::new(),
--- a/src/cmd/bench/run_times.rs
+++ b/src/cmd/bench/run_times.rs
@@ -38,7 +38,7 @@
 use std::time::Duration;
 
 /// The seeds over which each figure is averaged.
-const SEEDS: [u64; 3] = [1, 2, 3];
+const SEEDS: [u64; 4] = [1, 2, 3, 4];
 /// The number of workers, each with 8 accelerators.
 const WORKERS: usize = 24;
 /// The number of jobs.
@@ -81,6 +81,19 @@
         alone.enable(name);
         variants.push((format!("learned, {name}"), alone, Knowledge::Declared));
     }
+    for name in LearnedTimes::NAMES {
+        let mut others = off;
+        for other in LearnedTimes::NAMES {
+            if other != name {
+                others.enable(other);
+            }
+        }
+        variants.push((
+            format!("learned, all but {name}"),
+            others,
+            Knowledge::Declared,
+        ));
+    }
     let mut order = off;
     order.enable("order");
     variants.push(("perfect, order".to_owned(), order, Knowledge::Perfect));
@@ -454,7 +467,7 @@
         job.arrives_at = Duration::from_secs_f64(at);
         job.job.accepted_at = START_UNIX_MS + job.arrives_at.as_millis() as u64;
     }
-    drawn.sort_by(|a, b| a.arrives_at.cmp(&b.arrives_at));
+    drawn.sort_by_key(|a| a.arrives_at);
     drawn
 }
 
--- a/src/cmd/bench/workload.rs
+++ b/src/cmd/bench/workload.rs
@@ -120,10 +120,15 @@
     for scenario in scenarios() {
         let title = format!("Workload {}", scenario.name);
         let mut table = Table::new(&title, &columns);
+        let learned = Policy {
+            learned_order: true,
+            ..Policy::default()
+        };
         let policies = [
             ("first-fit FIFO", Policy::first_fit_fifo()),
             ("best fit, no reservation", Policy::best_fit()),
             ("default", Policy::default()),
+            ("default, learned order", learned),
         ];
 
         let seeds = if scenario.workers.len() > 100 {
--- a/src/embedded.rs
+++ b/src/embedded.rs
@@ -10,6 +10,7 @@
 use hibiscusbarrow_adapters::signal::Flag;
 use hibiscusbarrow_coordination::clock::Clock;
 use hibiscusbarrow_model::settings::LogFormat;
+use hibiscusbarrow_model::settings::Scheduling;
 use hibiscusbarrow_model::settings::Settings;
 use hibiscusbarrow_model::settings::Timing;
 use hibiscusbarrow_model::state::Announcement;
@@ -183,6 +184,7 @@
         seeds: Vec::new(),
         log: LogFormat::Terminal,
         timing: Timing::default(),
+        scheduling: Scheduling::default(),
     }
 }
 
