--- a/crates/placement/tests/suite/main.rs
+++ b/crates/placement/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of placement decisions, by feature.
 
 mod fixtures;
+mod learned;
 mod packing;
 mod quarantine;
 mod queueing;
