--- a/crates/fleet/tests/suite/learned.rs
+++ b/crates/fleet/tests/suite/learned.rs
@@ -120,8 +120,8 @@
         );
         cluster.advance(Duration::from_millis(500));
         waited += Duration::from_millis(500);
-        // Its 30 s with 8 accelerators put it back by no more than 240 s of work or four paths.
-        assert!(waited < Duration::from_secs(300), "it starves");
+        // Its work is 240 s; jobs accepted more than four paths of 30 s later may not overtake.
+        assert!(waited < Duration::from_secs(150), "it starves");
     }
     assert!(waited > Duration::from_secs(5), "it came first: {waited:?}");
 }
--- a/crates/roles/src/fleet/mod.rs
+++ b/crates/roles/src/fleet/mod.rs
@@ -16,7 +16,7 @@
 pub mod port;
 mod registration;
 pub mod relay;
-mod run_times;
+pub mod run_times;
 pub mod sidecar;
 mod status;
 mod unconfirmed;
