--- a/crates/fleet/src/ledger/learned.rs
+++ b/crates/fleet/src/ledger/learned.rs
@@ -516,8 +516,11 @@
         self.iter_runs_on(&slot.sidecar)
             .filter_map(|(id, key, run)| {
                 let entry = &self.jobs[id];
+                if run.phase != Phase::Live || entry.is_far_from_end(key, run, limit, now) {
+                    return None;
+                }
                 let left = self.remaining_time(entry, key, now)?;
-                let is_ending = run.phase == Phase::Live && left.mean < limit;
+                let is_ending = left.mean < limit;
                 let freed = required_resources(entry.step(key));
                 is_ending.then(|| ((id.clone(), key), freed))
             })
@@ -572,6 +575,15 @@
 }
 
 impl Entry {
+    /// Returns whether a run is so young that its expected remaining time is above a limit, by what
+    /// was expected of its step when that was last computed. Spares most runs a full estimate.
+    fn is_far_from_end(&self, key: TaskKey, run: &Run, limit: Duration, now: Duration) -> bool {
+        let outlook = self.outlook.as_ref();
+        let times = outlook.and_then(|o| o.steps.get(key.1 as usize)?.times);
+        let elapsed = now.saturating_sub(run.phase_since);
+        run.percent < MIN_PERCENT && times.is_some_and(|t| elapsed + limit * 4 < t.p10)
+    }
+
     /// Returns what is expected of the steps, computed anew if it is old.
     fn refresh_outlook(&mut self, learning: &Learning, now: Duration) -> &Outlook {
         let is_old = |o: &Outlook| now >= o.at + REFRESH_INTERVAL;
--- a/crates/fleet/src/ledger/supervise.rs
+++ b/crates/fleet/src/ledger/supervise.rs
@@ -121,6 +121,10 @@
             for (key, run) in &entry.runs {
                 let step = entry.step(*key);
                 let last_contact = self.workers.get(&run.sidecar).and_then(|w| w.last_contact);
+                // No timeout is shorter. Most runs end the check here.
+                if last_contact.is_none_or(|at| at <= run.progressed_at + MIN_STALL_TIMEOUT) {
+                    continue;
+                }
                 let stalls = entry.stalls.get(key).copied().unwrap_or(0);
                 // A task that stalls everywhere may just report its progress more seldom.
                 let timeout =
