--- a/crates/fleet/tests/suite/learned.rs
+++ b/crates/fleet/tests/suite/learned.rs
@@ -119,8 +119,9 @@
             &format!("s{number}"),
             vec![step(1, 8)],
         );
-        cluster.advance(Duration::from_secs(1));
-        waited += Duration::from_secs(1);
+        // A little more often than a task ends, so that the worker is never idle.
+        cluster.advance(Duration::from_millis(900));
+        waited += Duration::from_millis(900);
         assert!(waited < Duration::from_secs(300), "it starves");
     }
     // Its work is 240 s; jobs accepted more than four paths of 30 s later may not overtake.
@@ -129,7 +130,10 @@
     let newest = started.map(|(_, s)| accepted(&s.task.job)).max();
     let newest = newest.expect("tasks have started");
     assert!(newest <= accepted("long") + 125_000);
-    assert!(waited > Duration::from_secs(5), "it came first: {waited:?}");
+    assert!(
+        waited > Duration::from_secs(60),
+        "it came first: {waited:?}"
+    );
 }
 
 /// Guards against a late job that keeps those from being in time that still can, and against one
