--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -548,7 +548,7 @@
         "\n[scheduling]\nlearned-times = [\"order\", \"backfill\", \"preemption\", \"stall\"]\n";
     for (settings, is_used) in [("", false), (uses, true)] {
         let mut fleet = Fleet::start_with(2, 2, settings);
-        complete_job(&fleet, "/pairs/learned", 2);
+        complete_job(&fleet, JOB_PATH, 2);
         let placer = fleet.placer();
         let next = fleet.process_name(1 - placer);
 
@@ -558,7 +558,7 @@
             leases.values().any(|h| h.starts_with(&next))
         });
         let body = standin::job(&[(1, 1)], 300);
-        let later = "/pairs/later";
+        let later = "/pairs/00000000000000a3";
         fleet.wait_for("a later job to complete", |f| {
             let _ = f.call(1 - placer, "POST", later, &body);
             f.get_body(1 - placer, later).contains("completed")
