--- a/src/cmd/bench/run_times.rs
+++ b/src/cmd/bench/run_times.rs
@@ -115,7 +115,6 @@
             .collect();
         let mean = |i: usize| runs.iter().map(|r| r[i]).sum::<f64>() / runs.len() as f64;
         let figures: Vec<f64> = (0..columns.len() - 1).map(mean).collect();
-        eprintln!("{name}: {figures:.1?}");
         table.push_named(&name, figures);
     }
     Ok(vec![table, ledger::measure_learned(all)])
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -547,7 +547,7 @@
     let uses =
         "\n[scheduling]\nlearned-times = [\"order\", \"backfill\", \"preemption\", \"stall\"]\n";
     for (settings, is_used) in [("", false), (uses, true)] {
-        let mut fleet = Fleet::start_with(2, 2, settings);
+        let fleet = Fleet::start_with(2, 2, settings);
         complete_job(&fleet, JOB_PATH, 2);
         let placer = fleet.placer();
         let next = fleet.process_name(1 - placer);
