--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -16,6 +16,7 @@
 mod evacuation;
 mod fit;
 mod health;
+mod learned;
 mod listing;
 mod orders;
 mod pace;
@@ -29,6 +30,7 @@
 mod supervise;
 mod writes;
 
+pub use learned::LearnedTimes;
 pub use policy::ApprovalRequest;
 pub use writes::Batch;
 pub use writes::Write;
@@ -195,6 +197,10 @@
     stalls: HashMap<TaskKey, u32>,
     /// How far the declared run times were off, by occurrence and step.
     biases: HashMap<(u32, u32), speed::Bias>,
+    /// What is expected of the steps; none until the job has had tasks to start.
+    outlook: Option<learned::Outlook>,
+    /// How often runs of the job were preempted.
+    preemptions: u32,
 }
 
 /// A worker and its last known state.
@@ -367,6 +373,7 @@
     /// Since when workers of each service were last reserved while it was mostly idle.
     reserving_since: HashMap<SmolStr, Duration>,
     evacuation: evacuation::Evacuation,
+    learning: learned::Learning,
 }
 
 impl Ledger {
@@ -389,6 +396,7 @@
             planned_at: now,
             reserving_since: HashMap::new(),
             evacuation: evacuation::Evacuation::default(),
+            learning: learned::Learning::default(),
         }
     }
 
@@ -588,6 +596,8 @@
             crash_seen,
             stalls: HashMap::new(),
             biases: HashMap::new(),
+            outlook: None,
+            preemptions: 0,
         }
     }
 
--- a/crates/fleet/src/ledger/speed.rs
+++ b/crates/fleet/src/ledger/speed.rs
@@ -41,6 +41,11 @@
         self.slowness += residual / (self.tasks + PRIOR_TASKS);
     }
 
+    /// Returns the logarithm of the relative run time.
+    pub(super) fn slowness(&self) -> f64 {
+        self.slowness
+    }
+
     /// Returns the slowness in units of `BUCKET`; 0 for an average worker.
     pub(super) fn bucket(&self) -> i64 {
         (self.slowness / BUCKET).round() as i64
--- a/crates/fleet/tests/suite/fixtures.rs
+++ b/crates/fleet/tests/suite/fixtures.rs
@@ -5,6 +5,7 @@
 use hibiscusbarrow_fleet::job::Step;
 use hibiscusbarrow_fleet::ledger::Bounds;
 use hibiscusbarrow_fleet::ledger::Effect;
+use hibiscusbarrow_fleet::ledger::LearnedTimes;
 use hibiscusbarrow_fleet::ledger::Ledger;
 use hibiscusbarrow_fleet::ledger::Note;
 use hibiscusbarrow_fleet::ledger::Write;
@@ -260,6 +261,12 @@
         self
     }
 
+    /// Switches on uses of learned run times, before workers are added.
+    pub fn with_learned_times(mut self, uses: LearnedTimes) -> Self {
+        self.ledger = Ledger::new(self.bounds, self.epoch, self.now).with_learned_times(uses);
+        self
+    }
+
     /// Adds a worker and returns the cluster.
     pub fn with_worker(mut self, sidecar: &str, worker: FakeWorker) -> Self {
         self.add_worker(sidecar, worker);
@@ -297,7 +304,8 @@
     /// Replaces the placer by one of the next epoch that loads the stored records.
     pub fn replace_placer(&mut self) {
         self.epoch += 1;
-        self.ledger = Ledger::new(self.bounds, self.epoch, self.now);
+        let uses = self.ledger.learned_times();
+        self.ledger = Ledger::new(self.bounds, self.epoch, self.now).with_learned_times(uses);
         for (record, revision) in self.stored.values() {
             self.ledger.put_job(record.clone(), *revision, self.now);
         }
@@ -388,7 +396,7 @@
     }
 
     /// Ends the other members of a gang of which one has ended.
-    fn break_gang(&mut self, ended: &TaskId, run: u64) {
+    pub fn break_gang(&mut self, ended: &TaskId, run: u64) {
         let step = &self.stored[&ended.job].0.job.steps[ended.step as usize];
         if !step.gang {
             return;
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -3,12 +3,14 @@
 mod announced;
 mod capacity;
 mod crashes;
+mod decisions;
 mod departures;
 mod evacuation;
 mod features;
 mod figures;
 mod fixtures;
 mod last_listing;
+mod learned;
 mod model;
 mod occurrences;
 mod order;
--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -98,6 +98,9 @@
     StartsPaused = 1716, "The placer starts nothing, as its knowledge of evacuations is missing or too old.";
     StartsResumed = 1717, "The placer knows the evacuations again and starts work.";
     EvacuationApplied = 1718, "A new set of evacuated failure domains took effect in this process.";
+    RunTimesRead = 1719, "The placer read the run times that the last one had learned.";
+    RunTimesIgnored = 1720, "The stored run times cannot be used; declared times are used until runs have ended.";
+    RunTimesStored = 1721, "The placer stored the learned run times; the line names the most frequent kinds of tasks.";
     StoreDown = 1801, "The key-value service stopped answering.";
     StoreBack = 1802, "The key-value service answers again.";
     MirrorReset = 1803, "The store no longer has the history needed; its content is read again.";
--- a/crates/placement/tests/suite/main.rs
+++ b/crates/placement/tests/suite/main.rs
@@ -2,6 +2,7 @@
 
 mod evacuation;
 mod fixtures;
+mod learned;
 mod packing;
 mod quarantine;
 mod queueing;
--- a/crates/roles/tests/cache.rs
+++ b/crates/roles/tests/cache.rs
@@ -11,6 +11,7 @@
 use hibiscusbarrow_fleet::job::Job;
 use hibiscusbarrow_fleet::job::Step;
 use hibiscusbarrow_fleet::ledger::Bounds;
+use hibiscusbarrow_fleet::ledger::LearnedTimes;
 use hibiscusbarrow_fleet::record::Record;
 use hibiscusbarrow_roles::fleet::Shared;
 use hibiscusbarrow_roles::fleet::cache::StoreCache;
@@ -160,6 +161,7 @@
             limits: MachineLimits::default(),
             shutdown_timeout: Duration::from_secs(1),
             bounds,
+            learned_times: LearnedTimes::default(),
         },
         clock: clock.clone(),
         log: EventLog::new("gateway", clock, logger),
--- a/src/embedded.rs
+++ b/src/embedded.rs
@@ -11,6 +11,7 @@
 use hibiscusbarrow_coordination::clock::Clock;
 use hibiscusbarrow_model::settings::ClientLimits;
 use hibiscusbarrow_model::settings::LogFormat;
+use hibiscusbarrow_model::settings::Scheduling;
 use hibiscusbarrow_model::settings::Settings;
 use hibiscusbarrow_model::settings::Timing;
 use hibiscusbarrow_model::state::Announcement;
@@ -185,6 +186,7 @@
         log: LogFormat::Terminal,
         timing: Timing::default(),
         limits: ClientLimits::default(),
+        scheduling: Scheduling::default(),
     }
 }
 
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -227,6 +227,38 @@
     fleet.assert_started_once();
 }
 
+/// Guards against learned run times that are lost with the placer, and against a key in the store of
+/// a deployment that does not use them.
+#[test]
+fn learned_run_times_pass_to_the_next_placer_only_if_they_are_used() {
+    let uses =
+        "\n[scheduling]\nlearned-times = [\"order\", \"backfill\", \"preemption\", \"stall\"]\n";
+    for (settings, is_used) in [("", false), (uses, true)] {
+        let fleet = Fleet::start_with(2, 2, settings);
+        complete_job(&fleet, JOB_PATH, 2);
+        let placer = fleet.placer();
+        let next = fleet.process_name(1 - placer);
+
+        fleet.signal(placer, "-TERM");
+        fleet.wait_for("the other gateway to place", |f| {
+            let leases = f.store.read("hibiscusbarrow/placer");
+            leases.values().any(|h| h.starts_with(&next))
+        });
+        let body = standin::job(&[(1, 1)], 300);
+        let later = "/pairs/00000000000000a3";
+        fleet.wait_for("a later job to complete", |f| {
+            let _ = f.call(1 - placer, "POST", later, &body);
+            f.get_body(1 - placer, later).contains("completed")
+        });
+
+        let stored = fleet.store.read("hibiscusbarrow/run-times");
+        assert_eq!(!stored.is_empty(), is_used, "{settings}");
+        let log = fleet.dir.join(format!("{next}.log"));
+        let log = fs::read_to_string(log).expect("the log is readable");
+        assert_eq!(log.contains("1719"), is_used, "{settings}");
+    }
+}
+
 #[test]
 fn setting_of_a_wrong_type_is_reported_with_file_line_column_and_field() {
     let dir = std::env::temp_dir().join(format!("fleet-settings-{}", std::process::id()));
--- a/tests/testsuite/fleet_evacuation.rs
+++ b/tests/testsuite/fleet_evacuation.rs
@@ -55,7 +55,7 @@
 /// and made again at once; and against a domain or a job that is forgotten after the cancellation.
 #[test]
 fn nothing_starts_in_an_evacuated_domain_whatever_happens_to_placer_and_history() {
-    let mut fleet = Fleet::start_with(3, 2, Some(BOUND));
+    let mut fleet = Fleet::start_with_bound(3, 2, BOUND);
     let (evacuated, other) = (0, 1);
     fleet.workers[evacuated].set_zone(Some("za"));
     // The sidecar fills in the domain of its settings, which is z.
--- a/tests/testsuite/fleet_harness.rs
+++ b/tests/testsuite/fleet_harness.rs
@@ -40,6 +40,8 @@
     pub workers: Vec<WorkerStandin>,
     /// The bound of evacuations in the settings, if any.
     evacuation: Option<Duration>,
+    /// Further text of the settings of all processes.
+    settings: String,
     /// Whether the logs stay when the fleet is dropped.
     keeps_logs: bool,
     /// The limits that the settings of every process state.
@@ -63,12 +65,19 @@
     /// Starts the processes like [`start`](Self::start), with settings that state the limits of
     /// their machines.
     pub fn start_on(gateways: usize, sidecars: usize, machine: MachineLimits) -> Self {
-        Self::start_configured(gateways, sidecars, machine, None)
+        Self::start_configured(gateways, sidecars, machine, None, "")
     }
 
-    /// Starts the processes with a bound of evacuations, if any, in their settings.
-    pub fn start_with(gateways: usize, sidecars: usize, evacuation: Option<Duration>) -> Self {
-        Self::start_configured(gateways, sidecars, MachineLimits::default(), evacuation)
+    /// Starts the processes with a bound of evacuations in their settings.
+    pub fn start_with_bound(gateways: usize, sidecars: usize, bound: Duration) -> Self {
+        let machine = MachineLimits::default();
+        Self::start_configured(gateways, sidecars, machine, Some(bound), "")
+    }
+
+    /// Starts the processes with further text at the end of their settings.
+    pub fn start_with(gateways: usize, sidecars: usize, settings: &str) -> Self {
+        let machine = MachineLimits::default();
+        Self::start_configured(gateways, sidecars, machine, None, settings)
     }
 
     fn start_configured(
@@ -76,6 +85,7 @@
         sidecars: usize,
         machine: MachineLimits,
         evacuation: Option<Duration>,
+        settings: &str,
     ) -> Self {
         let number = NEXT_FLEET.fetch_add(1, Ordering::Relaxed);
         let unique = format!("fleet-{}-{number}", std::process::id());
@@ -90,6 +100,7 @@
             store,
             workers: Vec::new(),
             evacuation,
+            settings: settings.to_owned(),
             keeps_logs: false,
             machine,
             gateways,
@@ -136,6 +147,7 @@
             let bounds = format!("[bounds]\nevacuate-ms = {}\n", bound.as_millis());
             settings = settings.replace("[bounds]\n", &bounds);
         }
+        settings += &self.settings;
         fs::write(&path, settings).expect("the settings are written");
         let log_path = self.dir.join(format!("{name}.log"));
         let log = File::options().create(true).append(true).open(log_path);
