Answer a call whose message does not fit instead of ending its connection

A message that did not fit the memory for peers stopped the reading of its connection and ended it after 10 s, so that the outcomes of all calls in progress on it were unknown. Now the message is waited for at most 2 s, then discarded; a call without a request takes its place, which the server answers as overloaded. Messages that fit the stream's buffer need no memory, so that small calls and the ends of calls are always received. The table of a message is held back until its memory is granted, as the reader of messages allocates after the table.

Waiting as long as calls are open was weighed: it holds up small calls on the same connection for as long as the calls take.

A refusal no longer wakes others that wait for a release; two of them would have woken each other without end.

--- a/crates/adapters/src/clients/mod.rs
+++ b/crates/adapters/src/clients/mod.rs
@@ -428,7 +428,9 @@
         let total = CONNECTION_BYTES + self.head_share() + bytes;
         let limiter = &self.limiter;
         let held = limiter.poll_verdict(cx, |budget, now| budget.hold(now, self.id, total, size));
-        if held.is_ready() {
+        // A refusal changes nothing; woken by it, two that wait for a release would wake each
+        // other without end.
+        if matches!(held, Poll::Ready(Ok(()))) {
             limiter.wake_waiting();
         }
         held
--- a/crates/adapters/src/rpc/meter.rs
+++ b/crates/adapters/src/rpc/meter.rs
@@ -1,13 +1,21 @@
 //! What the messages and calls of a peer's connection hold.
 
 use super::server::RpcLimits;
+use crate::clients::BUFFER_BYTES;
 use crate::clients::ClientConnection;
 use crate::clients::SMALL_BODY_BYTES;
+use crate::node_capnp::node;
+use capnp::message::Builder;
+use capnp::message::Reader;
+use capnp::message::ReaderOptions;
+use capnp::message::SegmentArray;
+use capnp_rpc::rpc_capnp::message;
 use compio::time::sleep;
 use futures_util::AsyncRead;
 use hibiscusbarrow_coordination::client_budget::Phase;
 use hibiscusbarrow_coordination::client_budget::Size;
 use std::cell::Cell;
+use std::collections::VecDeque;
 use std::future::Future;
 use std::io;
 use std::io::ErrorKind;
@@ -16,11 +24,21 @@
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
+use std::time::Duration;
 
 /// The size of a word of a message, in bytes.
 const WORD_BYTES: u64 = 8;
 /// The largest number of segments of a message.
 const MAX_SEGMENTS: u64 = 512;
+/// The longest wait for memory for a message, while the messages behind it on its connection
+/// wait too. After a wait in vain, the connection's next messages are not waited for during the
+/// same time, so that many large calls cannot hold up small ones for a multiple of it.
+const MEMORY_WAIT: Duration = Duration::from_secs(2);
+/// The bytes of a message that are kept when its call is refused. The call's identifier and
+/// target are within the first hundred.
+const MAX_CALL_HEAD: u64 = 8 << 10;
+/// The size of the steps in which the bytes of a refused call are discarded.
+const DISCARD_STEP: usize = 1 << 10;
 
 /// What one connection of a peer holds: the message that is being received, and its calls.
 pub(super) struct PeerShare {
@@ -74,7 +92,18 @@
     }
 
     /// Sets what the message being received holds.
+    ///
+    /// A message as small as the stream's buffer is part of the connection's fixed cost, so that
+    /// small calls and the ends of calls are received also when no memory is left.
     fn poll_message(&self, cx: &mut Context<'_>, bytes: u64) -> Poll<Result<(), ()>> {
+        let bytes = if bytes <= BUFFER_BYTES as u64 {
+            0
+        } else {
+            bytes
+        };
+        if bytes == 0 {
+            return Poll::Ready(Ok(()));
+        }
         let total = bytes + self.calls.get();
         let held = ready!(self.connection.poll_hold(cx, total, size_of(total)));
         if held.is_ok() {
@@ -137,6 +166,8 @@
     Announced { bytes: u64 },
     /// The rest of the segments.
     Segments { left: u64 },
+    /// The rest of the segments of a call that is refused.
+    Refused { left: u64 },
 }
 
 const NEXT_MESSAGE: Part = Part::First {
@@ -147,15 +178,24 @@
 /// A reader that charges each message before it is received and fails when a message stalls.
 ///
 /// It follows the framing of messages: a table with the number and lengths of the segments,
-/// then the segments.
+/// then the segments. A call whose message does not fit is discarded and replaced by one without
+/// a request, which the server answers as overloaded.
 pub(super) struct MessageMeter<R> {
     reader: R,
     share: Rc<PeerShare>,
     limits: RpcLimits,
     part: Part,
+    /// The table of the message being received, which is passed on once the message is charged.
+    table: Vec<u8>,
+    /// Bytes that are passed on before further ones are received.
+    pending: VecDeque<u8>,
+    /// The first bytes of a call that is refused.
+    call_head: Vec<u8>,
+    /// Until when messages that do not fit are refused without a wait.
+    no_wait_until: Duration,
     /// Whether a whole message was received.
     is_greeted: bool,
-    /// Ends the connection when no byte arrives or no memory is left for the stall timeout.
+    /// Ends the connection when no byte arrives for the stall timeout, or a wait for memory.
     timer: Option<Pin<Box<dyn Future<Output = ()>>>>,
 }
 
@@ -166,6 +206,10 @@
             share,
             limits,
             part: NEXT_MESSAGE,
+            table: Vec::new(),
+            pending: VecDeque::new(),
+            call_head: Vec::new(),
+            no_wait_until: Duration::ZERO,
             is_greeted: false,
             timer: None,
         }
@@ -193,7 +237,7 @@
         Poll::Ready(Err(io::Error::new(ErrorKind::InvalidData, detail)))
     }
 
-    /// Holds the announced message; waits while there is no memory.
+    /// Holds the announced message; waits a bounded time for memory and refuses it after that.
     fn poll_charge(&mut self, cx: &mut Context<'_>, bytes: u64) -> Poll<io::Result<()>> {
         if bytes > self.limits.max_message {
             return self.fail(&format!("bytes={bytes} max={}", self.limits.max_message));
@@ -201,15 +245,42 @@
         match self.share.poll_message(cx, bytes) {
             Poll::Ready(Ok(())) => {
                 self.timer = None;
+                self.pending.extend(self.table.drain(..));
                 self.part = Part::Segments { left: bytes };
-                Poll::Ready(Ok(()))
-            }
-            Poll::Pending => self.poll_stall(cx, "peer_memory"),
-            Poll::Ready(Err(())) => {
-                self.limits.limiter.wait_for_release(cx);
-                self.poll_stall(cx, "peer_memory")
+                return Poll::Ready(Ok(()));
             }
+            Poll::Ready(Err(())) => self.limits.limiter.wait_for_release(cx),
+            Poll::Pending => {}
         }
+        let now = self.share.connection.now();
+        if now >= self.no_wait_until {
+            let wait = MEMORY_WAIT.min(self.limits.stall_timeout);
+            let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(wait)));
+            ready!(timer.as_mut().poll(cx));
+            self.no_wait_until = self.share.connection.now() + wait;
+        }
+        self.timer = None;
+        let detail = format!("cause=peer_call bytes={bytes}");
+        let addr = self.share.connection.addr;
+        self.limits
+            .limiter
+            .record_refused("peer_call", addr, &detail);
+        self.part = Part::Refused { left: bytes };
+        Poll::Ready(Ok(()))
+    }
+
+    /// Passes on the replacement of a call that was refused and discarded.
+    fn replace_call(&mut self) -> Result<(), String> {
+        let table = std::mem::take(&mut self.table);
+        let head = std::mem::take(&mut self.call_head);
+        let first_words = u32::from_le_bytes([table[4], table[5], table[6], table[7]]);
+        let first_bytes = usize::try_from(u64::from(first_words) * WORD_BYTES).unwrap_or(0);
+        let head = &head[..head.len().min(first_bytes)];
+        let call = call_without_request(head).map_err(|e| format!("detail={e}"))?;
+        self.pending.extend(call);
+        self.is_greeted = true;
+        self.part = NEXT_MESSAGE;
+        Ok(())
     }
 
     /// Releases a message that was received; its call holds what it needs from then on.
@@ -229,7 +300,7 @@
             Part::First { len, .. } => (8 - len) as u64,
             Part::Lengths { left, .. } => left,
             Part::Announced { .. } => 0,
-            Part::Segments { left } => left,
+            Part::Segments { left } | Part::Refused { left } => left,
         };
         usize::try_from(left).unwrap_or(usize::MAX)
     }
@@ -276,6 +347,9 @@
                 }
             }
             Part::Announced { bytes } => Part::Announced { bytes },
+            Part::Refused { left } => Part::Refused {
+                left: left - data.len() as u64,
+            },
             Part::Segments { left } => Part::Segments {
                 left: left - data.len() as u64,
             },
@@ -305,6 +379,54 @@
     })
 }
 
+/// Returns a message with the call that begins with `head`, without its request.
+///
+/// Fails if the bytes do not contain the identifier and the target of a call.
+fn call_without_request(head: &[u8]) -> capnp::Result<Vec<u8>> {
+    let words = head.len() - head.len() % WORD_BYTES as usize;
+    let segments = [&head[..words]];
+    let mut options = ReaderOptions::new();
+    options.traversal_limit_in_words(Some(MAX_CALL_HEAD as usize));
+    let reader = Reader::new(SegmentArray::new(&segments), options);
+    let message::Call(call) = reader.get_root::<message::Reader<'_>>()?.which()? else {
+        return Err(capnp::Error::failed("the message is not a call".into()));
+    };
+    let call = call?;
+    let mut replacement = Builder::new_default();
+    let mut out = replacement.init_root::<message::Builder<'_>>().init_call();
+    out.set_question_id(call.get_question_id());
+    out.set_target(call.get_target()?)?;
+    out.set_interface_id(call.get_interface_id());
+    out.set_method_id(call.get_method_id());
+    let params = out.init_params().init_content();
+    params.init_as::<node::forward_params::Builder<'_>>();
+    Ok(capnp::serialize::write_message_to_words(&replacement))
+}
+
+impl<R: AsyncRead + Unpin> MessageMeter<R> {
+    /// Polls for bytes of the current part, and follows the framing over them.
+    fn poll_part(&mut self, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
+        let limit = self.left().min(buf.len());
+        match Pin::new(&mut self.reader).poll_read(cx, &mut buf[..limit]) {
+            Poll::Ready(Ok(count)) => {
+                self.timer = None;
+                if let Err(detail) = self.advance(&buf[..count]) {
+                    return self.fail(&detail);
+                }
+                Poll::Ready(Ok(count))
+            }
+            Poll::Ready(Err(e)) => Poll::Ready(Err(e)),
+            Poll::Pending => {
+                let is_between = matches!(self.part, Part::First { len: 0, .. });
+                if is_between && self.is_greeted {
+                    return Poll::Pending;
+                }
+                self.poll_stall(cx, "stalled_message")
+            }
+        }
+    }
+}
+
 impl<R: AsyncRead + Unpin> AsyncRead for MessageMeter<R> {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -312,27 +434,39 @@
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
         let this = &mut *self;
-        if let Part::Announced { bytes } = this.part {
-            ready!(this.poll_charge(cx, bytes))?;
-        }
-        this.finish_message();
-        let limit = this.left().min(buf.len());
-        match Pin::new(&mut this.reader).poll_read(cx, &mut buf[..limit]) {
-            Poll::Ready(Ok(count)) => {
-                this.timer = None;
-                if let Err(detail) = this.advance(&buf[..count]) {
-                    return this.fail(&detail);
-                }
-                this.finish_message();
-                Poll::Ready(Ok(count))
+        let mut step = [0; DISCARD_STEP];
+        loop {
+            if !this.pending.is_empty() {
+                return Poll::Ready(io::Read::read(&mut this.pending, buf));
             }
-            Poll::Ready(Err(e)) => Poll::Ready(Err(e)),
-            Poll::Pending => {
-                let is_between = matches!(this.part, Part::First { len: 0, .. });
-                if is_between && this.is_greeted {
-                    return Poll::Pending;
+            this.finish_message();
+            match this.part {
+                Part::Announced { bytes } => ready!(this.poll_charge(cx, bytes))?,
+                Part::Segments { .. } => {
+                    let count = ready!(this.poll_part(cx, buf))?;
+                    this.finish_message();
+                    return Poll::Ready(Ok(count));
+                }
+                Part::Refused { left: 0 } => {
+                    if let Err(detail) = this.replace_call() {
+                        return this.fail(&detail);
+                    }
+                }
+                Part::First { .. } | Part::Lengths { .. } => {
+                    let count = ready!(this.poll_part(cx, &mut step))?;
+                    if count == 0 {
+                        return Poll::Ready(Ok(0));
+                    }
+                    this.table.extend_from_slice(&step[..count]);
+                }
+                Part::Refused { .. } => {
+                    let count = ready!(this.poll_part(cx, &mut step))?;
+                    if count == 0 {
+                        return Poll::Ready(Ok(0));
+                    }
+                    let room = (MAX_CALL_HEAD as usize).saturating_sub(this.call_head.len());
+                    this.call_head.extend_from_slice(&step[..count.min(room)]);
                 }
-                this.poll_stall(cx, "stalled_message")
             }
         }
     }
--- a/crates/adapters/src/rpc/server.rs
+++ b/crates/adapters/src/rpc/server.rs
@@ -218,9 +218,15 @@
         params: node::ForwardParams,
         mut results: node::ForwardResults,
     ) -> Result<(), capnp::Error> {
-        let request = params.get()?.get_request()?;
+        let params = params.get()?;
+        let request = params.get_request()?;
         let body_len = request.get_body()?.len() as u64;
-        let reply = match self.share.begin_call(CALL_FACTOR * body_len).await {
+        // Without a request, the call's message was discarded as it did not fit.
+        let call = match params.has_request() {
+            true => self.share.begin_call(CALL_FACTOR * body_len).await,
+            false => None,
+        };
+        let reply = match call {
             Some(_call) => {
                 let request = read_request(request)?;
                 (self.handlers.forward)(request).await
--- a/crates/adapters/tests/rpc.rs
+++ b/crates/adapters/tests/rpc.rs
@@ -385,3 +385,37 @@
         assert_eq!(reply.map(|r| r.code), Ok(Code::Done));
     });
 }
+
+/// Guards against a call whose message does not fit and which ends its connection, so that the
+/// outcomes of the calls in progress are unknown, or which holds up small calls.
+#[test]
+fn call_whose_message_does_not_fit_is_refused_and_its_connection_stays() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let server = LimitedServer::start(51_200_000, 8, 32 << 20).await;
+        let client = Rc::new(RpcClient::default());
+        let (first, addr) = (client.clone(), server.addr);
+        let in_progress =
+            compio::runtime::spawn(
+                async move { first.forward(addr, &request(16 << 20), WAIT).await },
+            );
+        wait_until(|| server.level("bytes") > 40 << 20).await;
+        let small = client.clone();
+        let large = request(16 << 20);
+        let second = client.forward(addr, &large, WAIT);
+        let behind = compio::runtime::spawn(async move {
+            sleep(Duration::from_millis(50)).await;
+            small.forward(addr, &request(100), WAIT).await
+        });
+
+        let refused = second.await.map(|r| r.code);
+        let (connections, at_work) = (server.level("connections"), server.level("bytes"));
+        server.finish.raise();
+        let done = in_progress.await.expect("the task does not panic");
+        let behind = behind.await.expect("the task does not panic");
+
+        assert_eq!(refused, Ok(Code::Overloaded));
+        assert_eq!((connections, at_work > 40 << 20), (1, true));
+        assert_eq!(done.map(|r| r.code), Ok(Code::Done));
+        assert_eq!(behind.map(|r| r.code), Ok(Code::Done));
+    });
+}
