Ask idle peers to close instead of cutting their connections off

A connection of a peer counted as stalled after 500 ms without a call and was aborted for a newcomer, also in calm. A call that the peer had just sent on it became unanswered. From its first whole message on, a peer's connection is now never chosen to be closed; the newcomer is refused, which its peer knows as not sent, and the peer that has been idle longest is asked to close through its call of `leaving`. Connections without a whole message still make way.

--- a/crates/adapters/src/clients/mod.rs
+++ b/crates/adapters/src/clients/mod.rs
@@ -283,7 +283,9 @@
                 Phase::Idle => "idle",
                 Phase::Head => "stalled_head",
                 Phase::Body => "stalled_body",
-                Phase::Reply | Phase::Handling | Phase::Closing => "stalled_reply",
+                Phase::Reply | Phase::Handling | Phase::Persistent | Phase::Closing => {
+                    "stalled_reply"
+                }
             };
             let class = entry.class.name();
             let detail = format!("cause={cause} class={class} bytes={held} quiet={quiet:?}");
--- a/crates/adapters/src/rpc/meter.rs
+++ b/crates/adapters/src/rpc/meter.rs
@@ -5,6 +5,7 @@
 use crate::clients::ClientConnection;
 use crate::clients::SMALL_BODY_BYTES;
 use crate::node_capnp::node;
+use crate::signal::Flag;
 use capnp::message::Builder;
 use capnp::message::Reader;
 use capnp::message::ReaderOptions;
@@ -47,6 +48,10 @@
     calls: Cell<u64>,
     /// The number of calls in progress.
     open_calls: Cell<usize>,
+    /// Whether a whole message was received, after which the peer may send calls.
+    is_greeted: Cell<bool>,
+    /// Raised to ask the peer to close the connection, as another peer needs the room.
+    pub leaving: Flag,
 }
 
 /// A call in progress, which returns its share when it is dropped.
@@ -62,9 +67,25 @@
             message: Cell::new(0),
             calls: Cell::new(0),
             open_calls: Cell::new(0),
+            is_greeted: Cell::new(false),
+            leaving: Flag::default(),
         }
     }
 
+    /// Returns whether the peer can be asked to close the connection, as it has no call.
+    pub fn is_idle(&self) -> bool {
+        self.is_greeted.get() && self.open_calls.get() == 0 && !self.leaving.is_raised()
+    }
+
+    /// Returns when the last byte was received.
+    pub fn last_read(&self) -> Duration {
+        self.connection.last_read()
+    }
+
+    fn greet(&self) {
+        self.is_greeted.set(true);
+    }
+
     /// Begins a call that holds `bytes`; returns nothing if they do not fit.
     pub async fn begin_call(self: &Rc<Self>, bytes: u64) -> Option<OpenCall> {
         self.open_calls.set(self.open_calls.get() + 1);
@@ -121,9 +142,9 @@
     }
 
     fn update_phase(&self) {
-        let phase = match (self.open_calls.get(), self.message.get()) {
-            (0, 0) => Phase::Idle,
-            (0, _) => Phase::Body,
+        let phase = match (self.open_calls.get(), self.is_greeted.get()) {
+            (0, false) => Phase::Body,
+            (0, true) => Phase::Persistent,
             _ => Phase::Handling,
         };
         self.connection.enter(phase);
@@ -193,8 +214,6 @@
     call_head: Vec<u8>,
     /// Until when messages that do not fit are refused without a wait.
     no_wait_until: Duration,
-    /// Whether a whole message was received.
-    is_greeted: bool,
     /// Ends the connection when no byte arrives for the stall timeout, or a wait for memory.
     timer: Option<Pin<Box<dyn Future<Output = ()>>>>,
 }
@@ -210,7 +229,6 @@
             pending: VecDeque::new(),
             call_head: Vec::new(),
             no_wait_until: Duration::ZERO,
-            is_greeted: false,
             timer: None,
         }
     }
@@ -278,7 +296,8 @@
         let head = &head[..head.len().min(first_bytes)];
         let call = call_without_request(head).map_err(|e| format!("detail={e}"))?;
         self.pending.extend(call);
-        self.is_greeted = true;
+        self.share.greet();
+        self.share.update_phase();
         self.part = NEXT_MESSAGE;
         Ok(())
     }
@@ -288,7 +307,7 @@
         if !matches!(self.part, Part::Segments { left: 0 }) {
             return;
         }
-        self.is_greeted = true;
+        self.share.greet();
         self.part = NEXT_MESSAGE;
         self.share.message.set(0);
         self.share.lower();
@@ -418,7 +437,7 @@
             Poll::Ready(Err(e)) => Poll::Ready(Err(e)),
             Poll::Pending => {
                 let is_between = matches!(self.part, Part::First { len: 0, .. });
-                if is_between && self.is_greeted {
+                if is_between && self.share.is_greeted.get() {
                     return Poll::Pending;
                 }
                 self.poll_stall(cx, "stalled_message")
--- a/crates/adapters/src/rpc/server.rs
+++ b/crates/adapters/src/rpc/server.rs
@@ -29,6 +29,7 @@
 use std::cell::Cell;
 use std::pin::pin;
 use std::rc::Rc;
+use std::rc::Weak;
 use std::time::Duration;
 
 /// The largest message that is read, in words of eight bytes.
@@ -152,6 +153,7 @@
 ) {
     let limiter = &limits.limiter;
     let mut accept_delay = MIN_ACCEPT_DELAY;
+    let mut shares: Vec<Weak<PeerShare>> = Vec::new();
     loop {
         let accept = pin!(listener.accept());
         let closed = pin!(shutdown.closed.wait());
@@ -171,10 +173,21 @@
         let (abort, registration) = AbortHandle::new_pair();
         let Ok(connection) = limiter.open(Class::Peers, addr, abort).await else {
             limiter.record_closed("no_connection", addr, "cause=no_connection class=peers");
+            ask_to_close(&shares);
             continue;
         };
         let in_use = shutdown.begin_use();
-        let peer = serve_peer(stream, connection, handlers.clone(), in_use, limits.clone());
+        let share = Rc::new(PeerShare::new(connection.clone()));
+        shares.retain(|share| share.strong_count() > 0);
+        shares.push(Rc::downgrade(&share));
+        let peer = serve_peer(
+            stream,
+            connection,
+            share,
+            handlers.clone(),
+            in_use,
+            limits.clone(),
+        );
         let peer = Abortable::new(peer, registration);
         compio::runtime::spawn(async move {
             let _ = peer.await;
@@ -183,16 +196,26 @@
     }
 }
 
+/// Asks the peer that has been idle longest to close its connection, which makes room for the
+/// next newcomer without cutting off a call.
+fn ask_to_close(shares: &[Weak<PeerShare>]) {
+    let open = shares.iter().filter_map(Weak::upgrade);
+    let idle = open.filter(|share| share.is_idle());
+    if let Some(share) = idle.min_by_key(|share| share.last_read()) {
+        share.leaving.raise();
+    }
+}
+
 async fn serve_peer(
     stream: TcpStream,
     connection: Rc<ClientConnection>,
+    share: Rc<PeerShare>,
     handlers: Handlers,
     in_use: InUse,
     limits: RpcLimits,
 ) {
     let _ = stream.set_nodelay(true);
     connection.use_other_protocol();
-    let share = Rc::new(PeerShare::new(connection.clone()));
     let stream = LimitedStream::incoming(stream, connection, limits.stall_timeout);
     let (reader, writer) = stream.split();
     let reader = MessageMeter::new(reader, share.clone(), limits);
@@ -272,7 +295,9 @@
         _params: node::LeavingParams,
         _results: node::LeavingResults,
     ) -> Result<(), capnp::Error> {
-        self.leaving.wait().await;
+        let stopping = pin!(self.leaving.wait());
+        let asked = pin!(self.share.leaving.wait());
+        select(stopping, asked).await;
         Ok(())
     }
 }
--- a/crates/adapters/tests/rpc.rs
+++ b/crates/adapters/tests/rpc.rs
@@ -8,7 +8,10 @@
 use compio::runtime::Runtime;
 use compio::time::sleep;
 use compio::time::timeout;
+use hibiscusbarrow_adapters::clients::CONNECTION_BYTES;
 use hibiscusbarrow_adapters::clients::ClientLimiter;
+use hibiscusbarrow_adapters::clients::MachineLimits;
+use hibiscusbarrow_adapters::clients::Shares;
 use hibiscusbarrow_adapters::log;
 use hibiscusbarrow_adapters::log::EventLog;
 use hibiscusbarrow_adapters::metrics::Metrics;
@@ -419,3 +422,63 @@
         assert_eq!(behind.map(|r| r.code), Ok(Code::Done));
     });
 }
+
+/// Guards against an idle connection that is cut off to make room, with the call that its peer
+/// has just sent on it. The peer is asked to close it instead.
+#[test]
+fn idle_peer_is_asked_to_close_for_a_newcomer_and_is_not_cut_off() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let server = LimitedServer::start(8 << 20, 2, 1 << 20).await;
+        server.finish.raise();
+        let idle = [RpcClient::default(), RpcClient::default()];
+        for client in &idle {
+            let reply = client.forward(server.addr, &request(5), WAIT).await;
+            assert_eq!(reply.map(|r| r.code), Ok(Code::Done));
+        }
+        sleep(Duration::from_millis(600)).await;
+
+        let newcomer = RpcClient::default();
+        let mut replies = Vec::new();
+        for _ in 0..10 {
+            let reply = newcomer.forward(server.addr, &request(5), WAIT).await;
+            replies.push(reply.map(|r| r.code));
+            if replies.last().is_some_and(Result::is_ok) {
+                break;
+            }
+        }
+
+        assert_eq!(replies.last(), Some(&Ok(Code::Done)), "{replies:?}");
+        let refused = &replies[..replies.len() - 1];
+        let is_not_sent = |r: &Result<Code, RpcError>| matches!(r, Err(RpcError::NotSent(_)));
+        assert!(refused.iter().all(is_not_sent), "{refused:?}");
+        let text = String::from_utf8(server.metrics.render()).expect("the metrics are text");
+        for cause in ["idle", "stalled_body", "stalled_reply"] {
+            let is_cut_off = text.contains(&format!("cause=\"{cause}\""));
+            assert!(!is_cut_off, "{cause}: {text}");
+        }
+    });
+}
+
+/// Guards against limits that a design of 90 gateways and a placer exceeds in calm: each has one
+/// connection, and an old one that is about to close.
+#[test]
+fn peers_of_the_largest_design_fit_on_the_smallest_machines() {
+    let machines = [
+        (160_000_000, 4_100, Shares::GATEWAY),
+        (128_000_000, 4_096, Shares::AGENT),
+        (128_000_000, 4_096, Shares::SIDECAR),
+    ];
+    for (memory, descriptors, shares) in machines {
+        let machine = MachineLimits {
+            memory,
+            descriptors,
+        };
+
+        let pool = machine.pools(shares)[&Class::Peers];
+
+        let connections = 2 * 91;
+        assert!(pool.connections >= connections, "{pool:?}");
+        let bytes = connections as u64 * CONNECTION_BYTES;
+        assert!(pool.bytes - pool.small_reserve >= bytes, "{pool:?}");
+    }
+}
--- a/crates/coordination/src/client_budget.rs
+++ b/crates/coordination/src/client_budget.rs
@@ -73,6 +73,9 @@
     Body,
     /// The request is being handled; the connection is never chosen to be closed.
     Handling,
+    /// A peer may send a call at any time, and one that is cut off has an unknown outcome; the
+    /// connection is never chosen to be closed.
+    Persistent,
     /// The answer is being sent.
     Reply,
     /// The answer was sent and the connection is being closed. It makes way after
@@ -80,6 +83,13 @@
     Closing,
 }
 
+impl Phase {
+    /// Returns whether a connection may be closed in this phase to make room.
+    pub const fn can_make_way(self) -> bool {
+        !matches!(self, Self::Handling | Self::Persistent)
+    }
+}
+
 /// Whether a request counts as large; large ones cannot use the reserve for small ones.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Size {
@@ -275,7 +285,7 @@
 
     /// Returns when the next connection of a class will count as stalled, if it stays quiet.
     pub fn next_stall(&self, now: Duration, class: Class) -> Option<Duration> {
-        self.next_stall_of(now, class, |c| c.phase != Phase::Handling)
+        self.next_stall_of(now, class, |c| c.phase.can_make_way())
     }
 
     /// Returns when the next connection of a class that is being closed will make way.
@@ -394,7 +404,7 @@
                 Some(**id) != except
                     && c.class == class
                     && !c.is_closing
-                    && c.phase != Phase::Handling
+                    && c.phase.can_make_way()
                     && now >= self.stall_time(c)
             })
             .map(|(id, c)| {
--- a/crates/coordination/tests/suite/client_budget.rs
+++ b/crates/coordination/tests/suite/client_budget.rs
@@ -234,7 +234,7 @@
         6 => (index.clone(), 0..1_200u64, any::<bool>())
             .prop_map(|(index, bytes, is_large)| Step::Hold { index, bytes, is_large }),
         2 => index.clone().prop_map(|index| Step::Progress { index }),
-        3 => (index.clone(), 0..6usize).prop_map(|(index, phase)| Step::Enter { index, phase }),
+        3 => (index.clone(), 0..7usize).prop_map(|(index, phase)| Step::Enter { index, phase }),
         2 => Just(Step::CloseNamed),
         2 => index.prop_map(|index| Step::Close { index }),
         3 => (0..3_000u64).prop_map(|millis| Step::Wait { millis }),
@@ -242,11 +242,12 @@
     ]
 }
 
-const PHASES: [Phase; 6] = [
+const PHASES: [Phase; 7] = [
     Phase::Idle,
     Phase::Head,
     Phase::Body,
     Phase::Handling,
+    Phase::Persistent,
     Phase::Reply,
     Phase::Closing,
 ];
@@ -277,6 +278,11 @@
         for id in ids {
             let connection = &self.open[id];
             assert_ne!(connection.phase, Phase::Handling, "{id:?} is being handled");
+            assert_ne!(
+                connection.phase,
+                Phase::Persistent,
+                "{id:?} may send a call"
+            );
             let grace = match connection.phase {
                 Phase::Closing => CLOSING_GRACE,
                 _ => GRACE,
