Close connections that never completed a request before idle ones

When a connection was lacking, idle keep-alive connections of ordinary callers made way before connections that had stalled in their first head or body.

The test of the order of idle and stalled connections used stalled ones that had never completed a request, which is the case that was wrong. It now lets them complete one first, and asserts the same order; a new test asserts the order of all four kinds.

--- a/crates/coordination/src/client_budget.rs
+++ b/crates/coordination/src/client_budget.rs
@@ -65,7 +65,7 @@
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Phase {
-    /// It has no request; it may be closed to make room.
+    /// It has completed a request and has no other; it may be closed to make room.
     Idle,
     /// The head of a request is being received.
     Head,
@@ -134,6 +134,8 @@
     phase: Phase,
     /// When the last byte was received or sent, or the phase began.
     progress: Duration,
+    /// Whether a request was completed on it.
+    has_completed: bool,
     /// Whether the embedder was told to close it.
     is_closing: bool,
 }
@@ -225,6 +227,7 @@
             size: Size::Small,
             phase: Phase::Head,
             progress: now,
+            has_completed: false,
             is_closing: false,
         };
         self.connections.insert(id, connection);
@@ -268,6 +271,7 @@
     pub fn enter(&mut self, now: Duration, id: ConnectionId, phase: Phase) {
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.phase = phase;
+            connection.has_completed |= phase == Phase::Idle;
             connection.progress = connection.progress.max(now);
         }
     }
@@ -387,9 +391,11 @@
 
     /// Returns the connections that may be closed, those to close first at the front.
     ///
-    /// Those that are closing anyway come first. If a connection is lacking, idle ones come next. If bytes are lacking, stalled requests
-    /// come next, as idle connections hold almost nothing. Then those of the source that holds
-    /// most come first, and of one source those that have stalled longest.
+    /// Those that are closing anyway come first. If a connection is lacking, those that never
+    /// completed a request come next, then idle ones, which belong to ordinary clients. If bytes
+    /// are lacking, stalled requests come next, as idle connections hold almost nothing. Then
+    /// those of the source that holds most come first, and of one source those that have stalled
+    /// longest.
     fn candidates(
         &self,
         now: Duration,
@@ -410,9 +416,11 @@
             .map(|(id, c)| {
                 let rank = match (c.phase, lack) {
                     (Phase::Closing, _) => 0,
-                    (Phase::Idle, Lack::Connection) => 1,
+                    (_, Lack::Connection) if !c.has_completed => 1,
+                    (Phase::Idle, Lack::Connection) => 2,
+                    (_, Lack::Connection) => 3,
                     (Phase::Idle, Lack::Bytes) => 3,
-                    _ => 2,
+                    (_, Lack::Bytes) => 2,
                 };
                 let by_source = self.sources.get(&(class, c.source)).copied();
                 let by_source = std::cmp::Reverse(by_source.unwrap_or(0));
--- a/crates/coordination/tests/suite/client_budget.rs
+++ b/crates/coordination/tests/suite/client_budget.rs
@@ -119,6 +119,11 @@
     let mut budget = budget(1_000, 3);
     let greedy = open_large(&mut budget, secs(1), 1, 300);
     let modest = open_large(&mut budget, secs(0), 2, 100);
+    // Connections that never completed a request would make way before any of these.
+    for id in [greedy, modest] {
+        budget.enter(secs(0), id, Phase::Idle);
+        budget.enter(secs(0), id, Phase::Body);
+    }
     let idle = open(&mut budget, secs(2), 3);
     budget.enter(secs(2), idle, Phase::Idle);
     let mut closed = Vec::new();
@@ -139,6 +144,29 @@
     assert_eq!(closed, [idle, greedy, modest]);
 }
 
+// Guards against closing the idle connections of ordinary callers while others have stalled in
+// their first head or body.
+#[test]
+fn connections_that_never_completed_a_request_go_before_idle_ones() {
+    let mut budget = budget(1_000, 4);
+    let idle = open(&mut budget, secs(0), 1);
+    budget.enter(secs(0), idle, Phase::Idle);
+    let in_first_head = open(&mut budget, secs(1), 2);
+    let in_first_body = open_large(&mut budget, secs(1), 3, 100);
+    let in_later_head = open(&mut budget, secs(0), 4);
+    budget.enter(secs(0), in_later_head, Phase::Idle);
+    budget.enter(secs(0), in_later_head, Phase::Head);
+    let mut closed = Vec::new();
+
+    for _ in 0..4 {
+        let chosen = budget.close_quietest(secs(10), Class::Clients);
+        closed.extend(chosen);
+        closed.iter().for_each(|id| budget.close(*id));
+    }
+
+    assert_eq!(closed, [in_first_body, in_first_head, idle, in_later_head]);
+}
+
 // Guards against large bodies that leave nothing for small requests.
 #[test]
 fn large_requests_leave_the_reserve_to_small_ones() {
