End the wait of a newcomer for room when a listener closes

The accept loop waited inline for room, up to 505 ms and 1 s, and a shutdown waited behind it. It now also waits for the closing flag.

A rule that a wait which made room forbids further waits for 1 s was tried and left out: with it, silent_connections_make_way_for_an_ordinary_request and drawn_bytes_leave_the_server_answering_and_nothing_held failed, as the ordinary request then comes within that second.

--- a/crates/adapters/src/http/server.rs
+++ b/crates/adapters/src/http/server.rs
@@ -256,7 +256,16 @@
         };
         accept_delay = MIN_ACCEPT_DELAY;
         let (abort, registration) = AbortHandle::new_pair();
-        let Some(connection) = open_connection(&limiter, limits.class, addr, abort).await else {
+        let opening = pin!(open_connection(&limiter, limits.class, addr, abort));
+        let close = pin!(closing.wait());
+        let connection = match select(opening, close).await {
+            Either::Left((connection, _)) => connection,
+            Either::Right(_) => {
+                limiter.record_closed("no_connection", addr, "cause=no_connection");
+                break;
+            }
+        };
+        let Some(connection) = connection else {
             limiter.record_closed("no_connection", addr, "cause=no_connection");
             continue;
         };
--- a/crates/adapters/tests/http_limits.rs
+++ b/crates/adapters/tests/http_limits.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use compio::runtime::Runtime;
+use futures_util::future::AbortHandle;
 use hibiscusbarrow_adapters::clients::ClientLimiter;
 use hibiscusbarrow_adapters::http;
 use hibiscusbarrow_adapters::http::Limits;
@@ -609,3 +610,38 @@
     assert_status(&read_to_end(gated), 200);
     server.wait_until_released();
 }
+
+fn limiter(connections: usize) -> ClientLimiter {
+    let clock = Clock::system();
+    let log = EventLog::new("server", clock.clone(), log::discard());
+    let metrics = Rc::new(Metrics::new().expect("the metrics are valid"));
+    ClientLimiter::new(pools(64 << 20, connections), clock, log, metrics)
+}
+
+// Guards against a shutdown that waits behind the wait of a newcomer for room, which takes 1 s
+// for a connection that does not end.
+#[test]
+fn shutdown_does_not_wait_for_room_for_a_newcomer() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let limiter = limiter(1);
+        let limits = short_limits();
+        let any = "127.0.0.1:0".parse().expect("the address is valid");
+        let listener = http::bind(any, &limits).await.expect("it binds");
+        let addr = listener.local_addr().expect("it has an address");
+        let (abort, _registration) = AbortHandle::new_pair();
+        let held = limiter.open(Class::Clients, addr, abort).await;
+        compio::time::sleep(Duration::from_millis(600)).await;
+        let stop = Flag::default();
+        let handler = |_| async { text_reply(200, "") };
+        let serving = http::serve_limited(listener, limiter, limits, stop.clone(), handler);
+        let server = compio::runtime::spawn(serving);
+        let newcomer = TcpStream::connect(addr).expect("it connects");
+        compio::time::sleep(Duration::from_millis(100)).await;
+
+        stop.raise();
+        let ended = compio::time::timeout(Duration::from_millis(600), server).await;
+
+        assert!(ended.is_ok(), "the shutdown waits");
+        drop((held, newcomer));
+    });
+}
