Limit the records of one transaction to 4 MiB

A batch of 15 records of up to 1 MiB could be relayed through a gateway whose message limit is 8 MiB and whose memory for peers is 16 MB, where a call takes three times its body. A batch now holds at most 4 MiB, or one record.

--- a/crates/fleet/src/ledger/writes.rs
+++ b/crates/fleet/src/ledger/writes.rs
@@ -17,6 +17,10 @@
 /// The most records of one transaction: the store takes 32 entries, of which each
 /// record needs two, a condition and a put, and the placer's lease one.
 const MAX_BATCH_RECORDS: usize = 15;
+/// The most bytes of the records of one transaction. A gateway that relays it to the store holds
+/// it three times, as message, copy and answer, in the 16 MB for peers of the smallest machine.
+/// A single record may be larger.
+const MAX_BATCH_BYTES: usize = 4 << 20;
 /// The delay before a record that the store has refused is written again.
 const REFUSAL_DELAY: Duration = Duration::from_millis(300);
 /// The refusals in a row after which a job fails whose record can be made no smaller.
@@ -67,13 +71,19 @@
         } else {
             due.retain(|e| !e.is_apart);
         }
+        let mut bytes = 0;
         for entry in due.into_iter().take(MAX_BATCH_RECORDS) {
+            let value = entry.record.encode();
+            bytes += value.len();
+            if bytes > MAX_BATCH_BYTES && !batch.writes.is_empty() {
+                break;
+            }
             entry.writing = true;
             entry.unsaved_rank = 0;
             batch.writes.push(Write {
                 job: entry.record.job.id.clone(),
                 revision: entry.revision,
-                value: Some(entry.record.encode()),
+                value: Some(value),
                 record: Some(Rc::new(entry.record.clone())),
                 ended: entry.record.ended_at > 0,
                 change: entry.changed,
--- a/crates/fleet/tests/suite/records.rs
+++ b/crates/fleet/tests/suite/records.rs
@@ -4,10 +4,13 @@
 use crate::fixtures::cluster;
 use crate::fixtures::job;
 use crate::fixtures::step;
+use crate::fixtures::worker;
 use hibiscusbarrow_fleet::job::Job;
 use hibiscusbarrow_fleet::record::Progress;
 use hibiscusbarrow_fleet::record::Record;
 use hibiscusbarrow_fleet::record::State;
+use hibiscusbarrow_fleet::worker::Resources;
+use std::time::Duration;
 
 /// Returns the record of a job of two steps with two and three tasks, and the progress of these
 /// tasks.
@@ -87,3 +90,40 @@
     let writes = expired.expect("the record is deleted").writes;
     assert_eq!((writes.len(), writes[0].value.is_none()), (1, true));
 }
+
+/// Guards against transactions that the memory for peers of a gateway can never hold, and against
+/// a record that is never written as it exceeds the limit by itself.
+#[test]
+fn a_batch_is_limited_in_bytes_and_holds_at_least_one_record() {
+    let mut big = worker("w1", "r1");
+    big.capacity = Resources {
+        cpu: 1_000_000,
+        memory: 1_000_000,
+        gpus: 1_000,
+    };
+    let mut cluster = cluster().with_worker("n1", big);
+    cluster.advance(Duration::from_secs(5));
+    for number in 0..10 {
+        let mut large = job(&format!("j{number}"), vec![step(1, 1)]);
+        large.spec = "x".repeat(if number == 0 { 5 << 20 } else { 1_000_000 });
+        cluster.submit(large);
+    }
+    cluster.ledger.plan(cluster.now, START_UNIX_MS);
+    let mut batches: Vec<Vec<usize>> = Vec::new();
+
+    while let Some(batch) = cluster.ledger.take_batch(START_UNIX_MS) {
+        let sizes = batch.writes.iter().map(|w| w.value.as_ref());
+        let sizes = sizes.map(|value| value.expect("no record is deleted").len());
+        batches.push(sizes.collect());
+    }
+
+    for sizes in &batches {
+        let total: usize = sizes.iter().sum();
+        assert!(total <= 4 << 20 || sizes.len() == 1, "{batches:?}");
+    }
+    assert_eq!(batches.iter().map(Vec::len).sum::<usize>(), 10);
+    assert!(
+        batches.len() <= 5,
+        "the batches are not filled: {batches:?}"
+    );
+}
