--- a/crates/adapters/src/clients/limits.rs
+++ b/crates/adapters/src/clients/limits.rs
@@ -65,14 +65,14 @@
         outgoing: 60,
     };
     /// Those of a sidecar beside a worker, whose clients send small messages.
-    pub const AGENT: Self = Self {
+    pub const FLEET_SIDECAR: Self = Self {
         client_memory: 25,
         peer_memory: 20,
         outgoing: 10,
     };
     /// Those of a sidecar beside an upstream, which receives requests from peers, and retains
     /// answers to requests with keys in another quarter of the memory.
-    pub const SIDECAR: Self = Self {
+    pub const UPSTREAM_SIDECAR: Self = Self {
         client_memory: 15,
         peer_memory: 40,
         outgoing: 20,
--- a/crates/adapters/src/http/server.rs
+++ b/crates/adapters/src/http/server.rs
@@ -459,8 +459,8 @@
         }
         let body = self.receive_body(body).await?;
         self.connection.enter(Phase::Handling);
-        let unread = u64::from(self.limits.receive_buffer());
-        let needed = unread + body.len() as u64 * (1 + self.limits.handling_factor);
+        let receive_buffer = u64::from(self.limits.receive_buffer());
+        let needed = receive_buffer + body.len() as u64 * (1 + self.limits.handling_factor);
         let held = self.connection.hold(needed, size_of_body(body.len())).await;
         held.map_err(|Exhausted| no_memory("handling the request"))?;
         Ok(Request {
@@ -515,15 +515,18 @@
 
     /// Grows a buffer; holds both the former and the new one while the bytes are copied.
     async fn grow(&self, buffer: &mut BodyBuffer, capacity: usize) -> Result<(), Refusal> {
-        let unread = u64::from(self.limits.receive_buffer());
-        let both = unread + (buffer.capacity() + capacity) as u64;
+        let receive_buffer = u64::from(self.limits.receive_buffer());
+        let both = receive_buffer + (buffer.capacity() + capacity) as u64;
         let size = size_of_body(capacity);
         let held = self.connection.hold(both, size).await;
         held.map_err(|Exhausted| no_memory("the request body"))?;
         buffer
             .grow(capacity)
             .map_err(|_| no_memory("the request body"))?;
-        let held = self.connection.hold(unread + capacity as u64, size).await;
+        let held = self
+            .connection
+            .hold(receive_buffer + capacity as u64, size)
+            .await;
         held.map_err(|Exhausted| no_memory("the request body"))
     }
 
@@ -564,10 +567,13 @@
     /// If it does not fit, the client learns that the outcome is unknown, as its request was
     /// handled.
     async fn hold_reply(&self, reply: Reply) -> Reply {
-        let unread = u64::from(self.limits.receive_buffer());
+        let receive_buffer = u64::from(self.limits.receive_buffer());
         let len = reply.body().len();
         let size = size_of_body(len);
-        let held = self.connection.hold(unread + len as u64, size).await;
+        let held = self
+            .connection
+            .hold(receive_buffer + len as u64, size)
+            .await;
         if held.is_ok() {
             return reply;
         }
--- a/crates/adapters/tests/rpc.rs
+++ b/crates/adapters/tests/rpc.rs
@@ -465,8 +465,8 @@
 fn peers_of_the_largest_design_fit_on_the_smallest_machines() {
     let machines = [
         (160_000_000, 4_100, Shares::GATEWAY),
-        (128_000_000, 4_096, Shares::AGENT),
-        (128_000_000, 4_096, Shares::SIDECAR),
+        (128_000_000, 4_096, Shares::FLEET_SIDECAR),
+        (128_000_000, 4_096, Shares::UPSTREAM_SIDECAR),
     ];
     for (memory, descriptors, shares) in machines {
         let machine = MachineLimits {
--- a/crates/roles/src/fleet/sidecar/mod.rs
+++ b/crates/roles/src/fleet/sidecar/mod.rs
@@ -104,7 +104,7 @@
     let peer_listener = TcpListener::bind(settings.peer_addr)
         .await
         .context("cannot bind the address for peers")?;
-    let limiter = create_limiter(&shared, Shares::AGENT);
+    let limiter = create_limiter(&shared, Shares::FLEET_SIDECAR);
     serve_metrics(&shared, &limiter);
     let detail = format!(
         "sidecar beats={:?} peer={}",
--- a/crates/roles/src/node/mod.rs
+++ b/crates/roles/src/node/mod.rs
@@ -122,7 +122,7 @@
         let machine = machine_limits(&settings);
         let shares = match role {
             Role::Gateway => Shares::GATEWAY,
-            _ => Shares::SIDECAR,
+            _ => Shares::UPSTREAM_SIDECAR,
         };
         let pools = machine.pools(shares);
         let limiter = ClientLimiter::new(pools, clock.clone(), log.clone(), metrics.clone());
