Answer a call that lacks memory before its caller gives it up

Relayed store calls end after 800 ms. With the wait of 2 s, their callers gave up before they learned that the call had not run. The wait is now 300 ms.

--- a/crates/adapters/src/rpc/meter.rs
+++ b/crates/adapters/src/rpc/meter.rs
@@ -32,9 +32,12 @@
 /// The largest number of segments of a message.
 const MAX_SEGMENTS: u64 = 512;
 /// The longest wait for memory for a message, while the messages behind it on its connection
-/// wait too. After a wait in vain, the connection's next messages are not waited for during the
-/// same time, so that many large calls cannot hold up small ones for a multiple of it.
-const MEMORY_WAIT: Duration = Duration::from_secs(2);
+/// wait too. Relayed store calls end after 800 ms; their callers have to learn before that
+/// whether the call has run.
+const MEMORY_WAIT: Duration = Duration::from_millis(300);
+/// After a wait in vain, the next messages on the connection are refused without a wait for this
+/// time, so that many large calls cannot hold up small ones for a multiple of it.
+const NO_WAIT_PERIOD: Duration = Duration::from_secs(2);
 /// The bytes of a message that are kept when its call is refused. The call's identifier and
 /// target are within the first hundred.
 const MAX_CALL_HEAD: u64 = 8 << 10;
@@ -272,10 +275,11 @@
         }
         let now = self.share.connection.now();
         if now >= self.no_wait_until {
-            let wait = MEMORY_WAIT.min(self.limits.stall_timeout);
-            let timer = self.timer.get_or_insert_with(|| Box::pin(sleep(wait)));
+            let timer = self
+                .timer
+                .get_or_insert_with(|| Box::pin(sleep(MEMORY_WAIT)));
             ready!(timer.as_mut().poll(cx));
-            self.no_wait_until = self.share.connection.now() + wait;
+            self.no_wait_until = self.share.connection.now() + NO_WAIT_PERIOD;
         }
         self.timer = None;
         let detail = format!("cause=peer_call bytes={bytes}");
