--- a/crates/adapters/src/clients/mod.rs
+++ b/crates/adapters/src/clients/mod.rs
@@ -53,12 +53,6 @@
 /// After a wait for a connection that did not make room, others are refused without a wait for
 /// this time, so that clients that send steadily cannot delay all newcomers.
 const NO_WAIT_PERIOD: Duration = Duration::from_secs(1);
-/// The longest wait of a large request for others to release what they hold. Two uploads that
-/// overlap take turns, and a refusal still comes soon.
-const LARGE_WAIT: Duration = Duration::from_secs(2);
-/// The most large requests of a process that wait for a release at a time; others are refused at
-/// once. A connection that waits cannot make way, so that more could keep newcomers out.
-const MAX_LARGE_WAITS: usize = 4;
 /// The longest wait for connections that are being closed to release what they hold.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// The most lines that are logged for one event within [`LOG_WINDOW`], so that clients cannot
@@ -83,8 +77,6 @@
     /// Woken whenever a connection releases a part of what it holds.
     waiting: RefCell<Vec<Waker>>,
     lines: RefCell<BTreeMap<Event, LogWindow>>,
-    /// The number of large requests that wait for a release.
-    large_waits: Cell<usize>,
     /// Until when newcomers are refused without a wait for connections that may stall.
     no_wait_until: Cell<Duration>,
     clock: Clock,
@@ -123,7 +115,6 @@
             open: RefCell::default(),
             waiting: RefCell::default(),
             lines: RefCell::default(),
-            large_waits: Cell::default(),
             no_wait_until: Cell::default(),
             clock,
             log,
@@ -382,27 +373,6 @@
     }
 }
 
-/// A wait of a large request, which is counted until it is dropped.
-struct LargeWait(Rc<Inner>);
-
-impl LargeWait {
-    /// Begins a wait, unless [`MAX_LARGE_WAITS`] are in progress.
-    fn begin(inner: &Rc<Inner>) -> Option<Self> {
-        let waits = inner.large_waits.get();
-        if waits >= MAX_LARGE_WAITS {
-            return None;
-        }
-        inner.large_waits.set(waits + 1);
-        Some(Self(inner.clone()))
-    }
-}
-
-impl Drop for LargeWait {
-    fn drop(&mut self) {
-        self.0.large_waits.set(self.0.large_waits.get() - 1);
-    }
-}
-
 /// An open connection of a client, which returns what it holds when it is dropped.
 pub struct ClientConnection {
     limiter: ClientLimiter,
@@ -431,10 +401,7 @@
     pub async fn hold(&self, bytes: u64, size: Size) -> Result<(), Exhausted> {
         let mut held = Self::wait_for_room(|cx| self.poll_hold(cx, bytes, size)).await;
         if size == Size::Large {
-            return match held {
-                Ok(()) => held,
-                Err(Exhausted) => self.wait_to_hold(bytes).await,
-            };
+            return held;
         }
         // A small request is worth a short wait for connections that have just gone quiet.
         let deadline = self.now() + STALL_GRACE + STALL_SLACK;
@@ -445,39 +412,6 @@
         held
     }
 
-    /// Holds the bytes of a large request once others have released enough, or fails after
-    /// [`LARGE_WAIT`].
-    async fn wait_to_hold(&self, bytes: u64) -> Result<(), Exhausted> {
-        let Some(_wait) = LargeWait::begin(&self.limiter.inner) else {
-            return Err(Exhausted);
-        };
-        // The client cannot show progress while its request is not read, so that the connection
-        // must not count as stalled.
-        let phase = self.phase.get();
-        self.enter(Phase::Handling);
-        let deadline = self.now() + LARGE_WAIT;
-        let mut held = Err(Exhausted);
-        while held.is_err() && self.now() < deadline {
-            let stall = {
-                let budget = self.limiter.inner.budget.borrow();
-                budget.next_stall(self.now(), self.class)
-            };
-            let end = stall.map_or(deadline, |stall| deadline.min(stall + STALL_SLACK));
-            let released = poll_fn(|cx| {
-                let held = self.poll_hold(cx, bytes, Size::Large);
-                if matches!(held, Poll::Ready(Err(_))) {
-                    self.limiter.wait_for_release(cx);
-                    return Poll::Pending;
-                }
-                held
-            });
-            let wait = end.saturating_sub(self.now());
-            held = timeout(wait, released).await.unwrap_or(Err(Exhausted));
-        }
-        self.enter(phase);
-        held
-    }
-
     /// Polls for a share until stalled connections have made room, for a bounded time.
     pub(crate) async fn wait_for_room(
         poll: impl FnMut(&mut Context<'_>) -> Poll<Result<(), Exhausted>>,
