--- a/crates/adapters/src/clients/mod.rs
+++ b/crates/adapters/src/clients/mod.rs
@@ -283,7 +283,9 @@
                 Phase::Idle => "idle",
                 Phase::Head => "stalled_head",
                 Phase::Body => "stalled_body",
-                Phase::Reply | Phase::Handling | Phase::Closing => "stalled_reply",
+                Phase::Reply | Phase::Handling | Phase::Persistent | Phase::Closing => {
+                    "stalled_reply"
+                }
             };
             let class = entry.class.name();
             let detail = format!("cause={cause} class={class} bytes={held} quiet={quiet:?}");
@@ -431,7 +433,9 @@
         let total = CONNECTION_BYTES + self.head_share() + bytes;
         let limiter = &self.limiter;
         let held = limiter.poll_verdict(cx, |budget, now| budget.hold(now, self.id, total, size));
-        if held.is_ready() {
+        // A refusal changes nothing; woken by it, two that wait for a release would wake each
+        // other without end.
+        if matches!(held, Poll::Ready(Ok(()))) {
             limiter.wake_waiting();
         }
         held
--- a/crates/adapters/src/http/server.rs
+++ b/crates/adapters/src/http/server.rs
@@ -258,7 +258,16 @@
         };
         accept_delay = MIN_ACCEPT_DELAY;
         let (abort, registration) = AbortHandle::new_pair();
-        let Some(connection) = open_connection(&limiter, limits.class, addr, abort).await else {
+        let opening = pin!(open_connection(&limiter, limits.class, addr, abort));
+        let close = pin!(closing.wait());
+        let connection = match select(opening, close).await {
+            Either::Left((connection, _)) => connection,
+            Either::Right(_) => {
+                limiter.record_closed("no_connection", addr, "cause=no_connection");
+                break;
+            }
+        };
+        let Some(connection) = connection else {
             limiter.record_closed("no_connection", addr, "cause=no_connection");
             continue;
         };
@@ -458,8 +467,8 @@
         }
         let body = self.receive_body(body).await?;
         self.connection.enter(Phase::Handling);
-        let unread = u64::from(self.limits.receive_buffer());
-        let needed = unread + body.len() as u64 * (1 + self.limits.handling_factor);
+        let receive_buffer = u64::from(self.limits.receive_buffer());
+        let needed = receive_buffer + body.len() as u64 * (1 + self.limits.handling_factor);
         let held = self.connection.hold(needed, size_of_body(body.len())).await;
         held.map_err(|Exhausted| no_memory("handling the request"))?;
         Ok(Request {
@@ -514,15 +523,18 @@
 
     /// Grows a buffer; holds both the former and the new one while the bytes are copied.
     async fn grow(&self, buffer: &mut BodyBuffer, capacity: usize) -> Result<(), Refusal> {
-        let unread = u64::from(self.limits.receive_buffer());
-        let both = unread + (buffer.capacity() + capacity) as u64;
+        let receive_buffer = u64::from(self.limits.receive_buffer());
+        let both = receive_buffer + (buffer.capacity() + capacity) as u64;
         let size = size_of_body(capacity);
         let held = self.connection.hold(both, size).await;
         held.map_err(|Exhausted| no_memory("the request body"))?;
         buffer
             .grow(capacity)
             .map_err(|_| no_memory("the request body"))?;
-        let held = self.connection.hold(unread + capacity as u64, size).await;
+        let held = self
+            .connection
+            .hold(receive_buffer + capacity as u64, size)
+            .await;
         held.map_err(|Exhausted| no_memory("the request body"))
     }
 
@@ -563,10 +575,13 @@
     /// If it does not fit, the client learns that the outcome is unknown, as its request was
     /// handled.
     async fn hold_reply(&self, reply: Reply) -> Reply {
-        let unread = u64::from(self.limits.receive_buffer());
+        let receive_buffer = u64::from(self.limits.receive_buffer());
         let len = reply.body().len();
         let size = size_of_body(len);
-        let held = self.connection.hold(unread + len as u64, size).await;
+        let held = self
+            .connection
+            .hold(receive_buffer + len as u64, size)
+            .await;
         if held.is_ok() {
             return reply;
         }
--- a/crates/coordination/src/client_budget.rs
+++ b/crates/coordination/src/client_budget.rs
@@ -65,7 +65,7 @@
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Phase {
-    /// It has no request; it may be closed to make room.
+    /// It has completed a request and has no other; it may be closed to make room.
     Idle,
     /// The head of a request is being received.
     Head,
@@ -73,6 +73,9 @@
     Body,
     /// The request is being handled; the connection is never chosen to be closed.
     Handling,
+    /// A peer may send a call at any time, and one that is cut off has an unknown outcome; the
+    /// connection is never chosen to be closed.
+    Persistent,
     /// The answer is being sent.
     Reply,
     /// The answer was sent and the connection is being closed. It makes way after
@@ -80,6 +83,13 @@
     Closing,
 }
 
+impl Phase {
+    /// Returns whether a connection may be closed in this phase to make room.
+    pub const fn can_make_way(self) -> bool {
+        !matches!(self, Self::Handling | Self::Persistent)
+    }
+}
+
 /// Whether a request counts as large; large ones cannot use the reserve for small ones.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Size {
@@ -124,6 +134,8 @@
     phase: Phase,
     /// When the last byte was received or sent, or the phase began.
     progress: Duration,
+    /// Whether a request was completed on it.
+    has_completed: bool,
     /// Whether the embedder was told to close it.
     is_closing: bool,
 }
@@ -215,6 +227,7 @@
             size: Size::Small,
             phase: Phase::Head,
             progress: now,
+            has_completed: false,
             is_closing: false,
         };
         self.connections.insert(id, connection);
@@ -258,6 +271,7 @@
     pub fn enter(&mut self, now: Duration, id: ConnectionId, phase: Phase) {
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.phase = phase;
+            connection.has_completed |= phase == Phase::Idle;
             connection.progress = connection.progress.max(now);
         }
     }
@@ -275,7 +289,7 @@
 
     /// Returns when the next connection of a class will count as stalled, if it stays quiet.
     pub fn next_stall(&self, now: Duration, class: Class) -> Option<Duration> {
-        self.next_stall_of(now, class, |c| c.phase != Phase::Handling)
+        self.next_stall_of(now, class, |c| c.phase.can_make_way())
     }
 
     /// Returns when the next connection of a class that is being closed will make way.
@@ -377,9 +391,11 @@
 
     /// Returns the connections that may be closed, those to close first at the front.
     ///
-    /// Those that are closing anyway come first. If a connection is lacking, idle ones come next. If bytes are lacking, stalled requests
-    /// come next, as idle connections hold almost nothing. Then those of the source that holds
-    /// most come first, and of one source those that have stalled longest.
+    /// Those that are closing anyway come first. If a connection is lacking, those that never
+    /// completed a request come next, then idle ones, which belong to ordinary clients. If bytes
+    /// are lacking, stalled requests come next, as idle connections hold almost nothing. Then
+    /// those of the source that holds most come first, and of one source those that have stalled
+    /// longest.
     fn candidates(
         &self,
         now: Duration,
@@ -394,15 +410,17 @@
                 Some(**id) != except
                     && c.class == class
                     && !c.is_closing
-                    && c.phase != Phase::Handling
+                    && c.phase.can_make_way()
                     && now >= self.stall_time(c)
             })
             .map(|(id, c)| {
                 let rank = match (c.phase, lack) {
                     (Phase::Closing, _) => 0,
-                    (Phase::Idle, Lack::Connection) => 1,
+                    (_, Lack::Connection) if !c.has_completed => 1,
+                    (Phase::Idle, Lack::Connection) => 2,
+                    (_, Lack::Connection) => 3,
                     (Phase::Idle, Lack::Bytes) => 3,
-                    _ => 2,
+                    (_, Lack::Bytes) => 2,
                 };
                 let by_source = self.sources.get(&(class, c.source)).copied();
                 let by_source = std::cmp::Reverse(by_source.unwrap_or(0));
--- a/crates/coordination/tests/suite/client_budget.rs
+++ b/crates/coordination/tests/suite/client_budget.rs
@@ -119,6 +119,11 @@
     let mut budget = budget(1_000, 3);
     let greedy = open_large(&mut budget, secs(1), 1, 300);
     let modest = open_large(&mut budget, secs(0), 2, 100);
+    // Connections that never completed a request would make way before any of these.
+    for id in [greedy, modest] {
+        budget.enter(secs(0), id, Phase::Idle);
+        budget.enter(secs(0), id, Phase::Body);
+    }
     let idle = open(&mut budget, secs(2), 3);
     budget.enter(secs(2), idle, Phase::Idle);
     let mut closed = Vec::new();
@@ -139,6 +144,29 @@
     assert_eq!(closed, [idle, greedy, modest]);
 }
 
+// Guards against closing the idle connections of ordinary callers while others have stalled in
+// their first head or body.
+#[test]
+fn connections_that_never_completed_a_request_go_before_idle_ones() {
+    let mut budget = budget(1_000, 4);
+    let idle = open(&mut budget, secs(0), 1);
+    budget.enter(secs(0), idle, Phase::Idle);
+    let in_first_head = open(&mut budget, secs(1), 2);
+    let in_first_body = open_large(&mut budget, secs(1), 3, 100);
+    let in_later_head = open(&mut budget, secs(0), 4);
+    budget.enter(secs(0), in_later_head, Phase::Idle);
+    budget.enter(secs(0), in_later_head, Phase::Head);
+    let mut closed = Vec::new();
+
+    for _ in 0..4 {
+        let chosen = budget.close_quietest(secs(10), Class::Clients);
+        closed.extend(chosen);
+        closed.iter().for_each(|id| budget.close(*id));
+    }
+
+    assert_eq!(closed, [in_first_body, in_first_head, idle, in_later_head]);
+}
+
 // Guards against large bodies that leave nothing for small requests.
 #[test]
 fn large_requests_leave_the_reserve_to_small_ones() {
@@ -233,7 +261,7 @@
         6 => (index.clone(), 0..1_200u64, any::<bool>())
             .prop_map(|(index, bytes, is_large)| Step::Hold { index, bytes, is_large }),
         2 => index.clone().prop_map(|index| Step::Progress { index }),
-        3 => (index.clone(), 0..6usize).prop_map(|(index, phase)| Step::Enter { index, phase }),
+        3 => (index.clone(), 0..7usize).prop_map(|(index, phase)| Step::Enter { index, phase }),
         2 => Just(Step::CloseNamed),
         2 => index.prop_map(|index| Step::Close { index }),
         3 => (0..3_000u64).prop_map(|millis| Step::Wait { millis }),
@@ -241,11 +269,12 @@
     ]
 }
 
-const PHASES: [Phase; 6] = [
+const PHASES: [Phase; 7] = [
     Phase::Idle,
     Phase::Head,
     Phase::Body,
     Phase::Handling,
+    Phase::Persistent,
     Phase::Reply,
     Phase::Closing,
 ];
@@ -276,6 +305,11 @@
         for id in ids {
             let connection = &self.open[id];
             assert_ne!(connection.phase, Phase::Handling, "{id:?} is being handled");
+            assert_ne!(
+                connection.phase,
+                Phase::Persistent,
+                "{id:?} may send a call"
+            );
             let grace = match connection.phase {
                 Phase::Closing => CLOSING_GRACE,
                 _ => GRACE,
