Draw evacuations of failure domains in the process soak

A third soak test plays the same seeds and durations with the bound of evacuations in the settings. Beside the faults, whose draws are unchanged, it requests evacuations of three failure domains, cancels them, makes half of them again at once, and lets them overlap. The stand-in workers get domains of their own. From their records it checks that nothing started in an evacuated domain later than the bound after the store's answer; time in which the store is down does not count, and disconnected gateways extend the bound by 6 s at most. All checks of the other soak tests apply too; those tests run without the bound, as before.

Not run in this form yet. Clients now stop with the faults, as in the other tests.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,4 +23,5 @@
 mod load;
 mod path;
 mod soak;
+mod soak_evacuations;
 mod stops;
--- a/tests/testsuite/soak.rs
+++ b/tests/testsuite/soak.rs
@@ -6,6 +6,8 @@
 use crate::cluster::block_on;
 use crate::fleet::Fleet;
 use crate::fleet::WAIT_TIMEOUT;
+use crate::soak_evacuations;
+use crate::soak_evacuations::Evacuations;
 use bytes::Bytes;
 use hibiscusbarrow_adapters::http::HttpClient;
 use hibiscusbarrow_platform::standin;
@@ -116,15 +118,22 @@
     /// The processes and the workers (behind the processes) under a fault.
     busy: Vec<bool>,
     manifest: u64,
+    /// The evacuations that are drawn beside the faults, if the settings have their bound.
+    evacuations: Option<Evacuations>,
     /// What was done, for a failed run.
     log: Vec<String>,
     start: Instant,
 }
 
 impl Soak {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, check: Check) -> Self {
+        let has_evacuations = check == Check::Evacuations;
+        let bound = has_evacuations.then_some(soak_evacuations::BOUND);
+        let fleet = Fleet::start_with(GATEWAYS, SIDECARS, bound);
+        let evacuations = has_evacuations.then(|| Evacuations::prepare(&fleet, seed));
         Self {
-            fleet: Fleet::start(GATEWAYS, SIDECARS),
+            fleet,
+            evacuations,
             rng: SmallRng::seed_from_u64(seed),
             open: Vec::new(),
             busy: vec![false; GATEWAYS + 2 * SIDECARS],
@@ -139,6 +148,22 @@
         self.log.push(format!("{at:.3} {text}"));
     }
 
+    /// Draws evacuations if the settings have their bound.
+    fn step_evacuations(&mut self) {
+        let evacuations = self.evacuations.as_mut();
+        let done = evacuations.map_or_else(Vec::new, |e| e.step(&self.fleet));
+        for text in done {
+            self.note(text);
+        }
+    }
+
+    /// Notes a change of the store's reach for the allowances of evacuations.
+    fn note_reach(&mut self) {
+        if let Some(evacuations) = &mut self.evacuations {
+            evacuations.note_reach(&self.fleet);
+        }
+    }
+
     /// Draws one fault and begins it, unless its target is under another one.
     fn begin_fault(&mut self) {
         let fault = Fault::ALL[self.rng.random_range(0..Fault::ALL.len())];
@@ -159,7 +184,9 @@
         self.note(format!(
             "{fault:?} process={process} worker={worker} {time:?}"
         ));
-        if let Some((after, recovery)) = self.apply(fault, process, worker) {
+        let recovery = self.apply(fault, process, worker);
+        self.note_reach();
+        if let Some((after, recovery)) = recovery {
             let end = Instant::now() + after.unwrap_or(time);
             self.open.push((end, recovery));
         }
@@ -239,6 +266,7 @@
         for (_, recovery) in due {
             self.note(format!("{recovery:?}"));
             self.end_fault(recovery);
+            self.note_reach();
         }
         // As the platform does: SIGHUP ends a process that has just been started.
         for process in 0..GATEWAYS + SIDECARS {
@@ -417,13 +445,15 @@
 enum Check {
     /// The starts of deadly tasks after their third crash.
     ExcessStarts,
-    /// Everything else.
+    /// Everything else, without evacuations.
     Runs,
+    /// The same with evacuations, and the starts that these forbid.
+    Evacuations,
 }
 
 /// Plays one seed; returns what broke a rule, with the faults that were drawn.
 fn play(seed: u64, time: Duration, check: Check) -> Result<(), String> {
-    let mut soak = Soak::new(seed);
+    let mut soak = Soak::new(seed, check);
     let stop = Arc::new(AtomicBool::new(false));
     let gateways: Vec<SocketAddr> = (0..GATEWAYS).map(|g| soak.fleet.gateway_addr(g)).collect();
     let clients: Vec<_> = (0..CLIENTS)
@@ -435,6 +465,7 @@
     let end = soak.start + time;
     while Instant::now() < end {
         soak.begin_fault();
+        soak.step_evacuations();
         let pause = soak.rng.random_range(PAUSE_MS);
         std::thread::sleep(Duration::from_millis(pause));
         soak.end_faults(false);
@@ -443,6 +474,10 @@
         soak.end_faults(true);
     }
     stop.store(true, Ordering::Relaxed);
+    if let Some(evacuations) = &mut soak.evacuations {
+        // The clients have stopped, so that there are no more jobs than without evacuations.
+        evacuations.finish(&soak.fleet);
+    }
     let mut broken = Vec::new();
     for worker in &soak.fleet.workers {
         worker.resize(ACCELERATORS);
@@ -473,6 +508,10 @@
         let overfull = worker.overfull_starts();
         broken.extend(overfull.iter().map(|t| format!("{t} overfills a worker")));
     }
+    if let Some(evacuations) = &soak.evacuations {
+        broken.extend(evacuations.find_late_starts(&soak.fleet.workers));
+        println!("seed {seed}: {}", evacuations.describe());
+    }
     if check == Check::ExcessStarts {
         broken = find_excess_starts(&soak.fleet, &deadly);
     }
@@ -547,3 +586,11 @@
 fn all_jobs_of_seed_2_end_in_time_under_overlapping_faults() {
     soak(Check::Runs, &[LATE_SEED]);
 }
+
+/// Nothing starts in an evacuated domain after the bound, while placers, sidecars, workers and the
+/// store fail and requests are cancelled, made again and overlap; and evacuations break none of the
+/// other rules.
+#[test]
+fn nothing_starts_in_evacuated_domains_under_overlapping_faults() {
+    soak(Check::Evacuations, &seeds().collect::<Vec<_>>());
+}
