--- a/src/cmd/bench/run_times.rs
+++ b/src/cmd/bench/run_times.rs
@@ -559,6 +559,7 @@
         draining: false,
         leaving: false,
         remaining: None,
+        cold_left: 0,
         on_hold: false,
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -24,4 +24,5 @@
 mod load;
 mod path;
 mod soak;
+mod soak_evacuations;
 mod stops;
