Discard a refused body up to the largest one, so that its client sees the answer

Ruled out: the budget, which was not used.

Change: as much as the largest body and 1 MiB is discarded, for the stall timeout at most. Such a connection holds no body and makes way first.

--- a/crates/adapters/src/http/server.rs
+++ b/crates/adapters/src/http/server.rs
@@ -117,12 +117,12 @@
 /// The longest wait for the head of a request that is about to be refused, as no connection is
 /// left.
 const OVERFLOW_HEAD_TIMEOUT: Duration = Duration::from_secs(2);
-/// How many bytes of a refused request are read and discarded before its connection is closed,
-/// and for how long. Unread bytes would make the system reset the connection, and the client
-/// might never see the answer.
+/// How many bytes of a refused request beyond the largest body are read and discarded before its
+/// connection is closed. Unread bytes would make the system reset the connection, and a client that
+/// sends its whole body before it reads would never see the answer.
 const MAX_DISCARDED_BYTES: usize = 1 << 20;
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
-/// For how long they are discarded once the server is closing, which must not be delayed.
+/// For how long they are discarded once the server is closing, which must not be delayed; otherwise
+/// for the stall timeout at most.
 const STOP_DISCARD_TIMEOUT: Duration = Duration::from_millis(100);
 /// The first and the longest delay after a connection could not be accepted.
 const MIN_ACCEPT_DELAY: Duration = Duration::from_millis(10);
@@ -383,9 +383,10 @@
     }
     let limit = match is_closing {
         true => STOP_DISCARD_TIMEOUT,
-        false => DISCARD_TIMEOUT,
+        false => limits.stall_timeout,
     };
-    let discard = pin!(timeout(limit, discard(&mut stream)));
+    let max_bytes = limits.max_body_bytes.saturating_add(MAX_DISCARDED_BYTES);
+    let discard = pin!(timeout(limit, discard(&mut stream, max_bytes)));
     match is_closing {
         true => drop(discard.await),
         false => drop(select(discard, close).await),
@@ -393,9 +394,9 @@
 }
 
 /// Reads and discards what a client still sends after its request was refused.
-async fn discard(stream: &mut LimitedStream) -> std::io::Result<()> {
+async fn discard(stream: &mut LimitedStream, max_bytes: usize) -> std::io::Result<()> {
     let mut buffer = vec![0; BUFFER_BYTES];
-    let mut left = MAX_DISCARDED_BYTES;
+    let mut left = max_bytes;
     while left > 0 {
         let count = futures_util::AsyncReadExt::read(stream, &mut buffer).await?;
         if count == 0 {
