--- a/crates/adapters/src/http/server.rs
+++ b/crates/adapters/src/http/server.rs
@@ -411,7 +411,7 @@
 struct Refusal {
     cause: &'static str,
     fault: Fault,
-    /// Whether the client may try again after a while.
+    /// Whether the same request can succeed later.
     is_temporary: bool,
 }
 
--- a/crates/adapters/src/rpc/meter.rs
+++ b/crates/adapters/src/rpc/meter.rs
@@ -35,7 +35,7 @@
 /// wait too. Relayed store calls end after 800 ms; their callers have to learn before that
 /// whether the call has run.
 const MEMORY_WAIT: Duration = Duration::from_millis(300);
-/// After a wait in vain, the next messages on the connection are refused without a wait for this
+/// After a wait that ended without memory, the next messages on the connection are refused without a wait for this
 /// time, so that many large calls cannot hold up small ones for a multiple of it.
 const NO_WAIT_PERIOD: Duration = Duration::from_secs(2);
 /// The bytes of a message that are kept when its call is refused. The call's identifier and
--- a/crates/coordination/src/evacuation.rs
+++ b/crates/coordination/src/evacuation.rs
@@ -46,7 +46,7 @@
     /// one who had it confirmed `age` before it answered.
     ///
     /// The age of an answer counts from when the call was sent, since the set may have changed
-    /// while the answer was under way.
+    /// while the answer was in transit.
     pub fn confirm(&mut self, sent: Duration, age: Duration) {
         self.known = true;
         self.confirmed_at = self.confirmed_at.max(sent.checked_sub(age));
--- a/crates/coordination/tests/suite/evacuation.rs
+++ b/crates/coordination/tests/suite/evacuation.rs
@@ -15,7 +15,7 @@
     Duration::from_secs(seconds)
 }
 
-/// Guards against an answer that was under way and brings back a set that was replaced.
+/// Guards against a delayed answer that brings back a set that was replaced.
 #[test]
 fn late_answer_with_an_older_revision_changes_nothing() {
     let mut set = EvacuationSet::default();
--- a/crates/fleet/tests/suite/cold.rs
+++ b/crates/fleet/tests/suite/cold.rs
@@ -82,7 +82,7 @@
     assert_eq!(place(&mut cluster, "job", 0), "n1");
 }
 
-/// Guards against a worker that is taken to be slow for good as its first runs were slow.
+/// Guards against a worker that stays ranked as slow because its first runs were slow.
 #[test]
 fn runs_that_began_on_a_cold_worker_say_nothing_about_its_speed() {
     for (bound, expected) in [(Some(BOUND), "n1"), (None, "n2")] {
--- a/crates/fleet/tests/suite/learned.rs
+++ b/crates/fleet/tests/suite/learned.rs
@@ -97,7 +97,7 @@
     }
 }
 
-/// Guards against a long task that short ones, which keep arriving, hold back for good.
+/// Guards against starvation of a long task by short ones that keep arriving.
 #[test]
 fn a_long_task_starts_although_short_ones_keep_arriving() {
     let known = [
@@ -137,7 +137,7 @@
 }
 
 /// Guards against a late job that keeps those from being in time that still can, and against one
-/// that waits behind them for good.
+/// that never starts behind them.
 #[test]
 fn a_job_that_cannot_be_in_time_waits_behind_others_for_a_limited_time() {
     let known = [("agency", 8, Duration::from_millis(900))];
--- a/crates/fleet/tests/suite/model.rs
+++ b/crates/fleet/tests/suite/model.rs
@@ -411,7 +411,7 @@
         self.in_transit.push((at, message));
     }
 
-    /// Returns the effects that a placer carries out now; it holds some back for a while, as while
+    /// Returns the effects that a placer carries out now; it holds some back for a time, as when
     /// its lease is not renewed.
     fn due_effects(&mut self, placer: usize) -> Vec<Effect> {
         let now = self.now;
@@ -1175,7 +1175,7 @@
     }
 
     /// Guards against starts in a domain after the bound: the checks during the play fail then. Work
-    /// that an evacuation keeps away must not be lost, or kept away for good.
+    /// that an evacuation keeps away must not be lost, and starts again after the cancellation.
     #[test]
     fn nothing_starts_in_an_evacuated_domain_after_the_bound(seed in any::<u64>()) {
         let simulation = new_simulation(seed).with_evacuations(evacuation_seed(seed));
--- a/crates/placement/tests/suite/learned.rs
+++ b/crates/placement/tests/suite/learned.rs
@@ -64,7 +64,7 @@
     }
 }
 
-/// Guards against a long job that shorter ones keep waiting for good.
+/// Guards against starvation of a long job by shorter ones.
 #[test]
 fn a_long_job_starts_although_short_ones_keep_arriving() {
     let (mut scheduler, begin) = experienced(true, false);
