Say which feed of the store failed, how long it waited and what had arrived

E1801 read 'the call timed out' for a connection that had fallen silent and for an answer that was still arriving.

--- a/crates/adapters/src/http/client.rs
+++ b/crates/adapters/src/http/client.rs
@@ -56,6 +56,29 @@
 /// The address of a process, and its number if connections are opened with a greeting.
 type Peer = (SocketAddr, Option<u64>);
 
+/// How far a call has come.
+#[derive(Default)]
+struct Progress {
+    /// Whether the request may have been sent.
+    sent: Cell<bool>,
+    /// The bytes of the answer's body that have arrived.
+    received: Cell<usize>,
+}
+
+impl Progress {
+    /// Returns the failure of a call that has timed out.
+    fn timeout_error(&self) -> SendError {
+        if !self.sent.get() {
+            return SendError::NotSent("no connection was ready in time".into());
+        }
+        let detail = match self.received.get() {
+            0 => "the call timed out".into(),
+            count => format!("the call timed out after {count} bytes of its answer"),
+        };
+        SendError::Unanswered(detail)
+    }
+}
+
 /// An HTTP client with a pool of persistent connections.
 #[derive(Default)]
 pub struct HttpClient {
@@ -105,12 +128,11 @@
         call_timeout: Duration,
         max_body: usize,
     ) -> Result<Response<Bytes>, SendError> {
-        let sent = Cell::new(false);
-        let call = self.exchange(addr, greeting, request, max_body, &sent);
+        let progress = Progress::default();
+        let call = self.exchange(addr, greeting, request, max_body, &progress);
         match timeout(call_timeout, call).await {
             Ok(result) => result,
-            Err(_) if sent.get() => Err(SendError::Unanswered("the call timed out".into())),
-            Err(_) => Err(SendError::NotSent("no connection was ready in time".into())),
+            Err(_) => Err(progress.timeout_error()),
         }
     }
 
@@ -141,7 +163,7 @@
         greeting: Option<Greeting>,
         request: http::Request<Bytes>,
         max_body: usize,
-        sent: &Cell<bool>,
+        progress: &Progress,
     ) -> Result<Response<Bytes>, SendError> {
         let peer = (addr, greeting.as_ref().map(|g| g.process));
         let mut request = request.map(Full::new);
@@ -151,16 +173,16 @@
                 greet(&mut sender, greeting, max_body).await?;
                 self.forget_others(peer);
             }
-            sent.set(true);
+            progress.sent.set(true);
             match sender.try_send_request(request).await {
                 Ok(reply) => {
-                    let reply = read_body(reply, max_body).await?;
+                    let reply = read_body(reply, max_body, progress).await?;
                     self.put_idle(peer, sender);
                     return Ok(reply);
                 }
                 Err(mut failure) => match failure.take_message() {
                     Some(unsent) if !is_new => {
-                        sent.set(false);
+                        progress.sent.set(false);
                         request = unsent;
                     }
                     Some(_) => return Err(SendError::NotSent(failure.error().to_string())),
@@ -230,7 +252,7 @@
     let request = greeting.request.clone().map(Full::new);
     let reply = sender.send_request(request).await;
     let reply = reply.map_err(|e| unanswered(e.to_string()))?;
-    let reply = read_body(reply, max_body).await;
+    let reply = read_body(reply, max_body, &Progress::default()).await;
     let reply = reply.map_err(|e| unanswered(e.to_string()))?;
     if !(greeting.is_expected)(&reply, greeting.process) {
         let status = reply.status().as_u16();
@@ -244,6 +266,7 @@
 async fn read_body(
     reply: Response<Incoming>,
     max_body: usize,
+    progress: &Progress,
 ) -> Result<Response<Bytes>, SendError> {
     let (parts, mut body) = reply.into_parts();
     let truncated = |e: &dyn std::fmt::Display| SendError::Truncated(e.to_string());
@@ -266,6 +289,7 @@
             buffer.grow(capacity).map_err(|e| truncated(&e))?;
         }
         buffer.extend(data);
+        progress.received.set(buffer.len());
     }
     Ok(Response::from_parts(parts, buffer.into_bytes()))
 }
--- a/crates/roles/src/fleet/cache/follow.rs
+++ b/crates/roles/src/fleet/cache/follow.rs
@@ -223,7 +223,13 @@
         Err(e) => {
             feed.has_failed.set(true);
             if feed.is_critical {
-                cache.handle_store_failure(shared, &e.to_string());
+                let detail = format!(
+                    "prefix={:?} after={} waited={:?} {e}",
+                    feed.prefix,
+                    feed.revision.get(),
+                    shared.clock.now() - sent
+                );
+                cache.handle_store_failure(shared, &detail);
             }
             sleep(RETRY_DELAY).await;
             // One probe for all feeds finds out when the store is back.
