--- a/tests/testsuite/fleet_harness.rs
+++ b/tests/testsuite/fleet_harness.rs
@@ -46,6 +46,8 @@
     keeps_logs: bool,
     /// The limits that the settings of every process state.
     machine: MachineLimits,
+    /// The addresses of the store for processes that do not reach it at their endpoint.
+    store_addrs: BTreeMap<usize, SocketAddr>,
     pub gateways: usize,
     pub children: BTreeMap<String, Child>,
 }
@@ -103,6 +105,7 @@
             settings: settings.to_owned(),
             keeps_logs: false,
             machine,
+            store_addrs: BTreeMap::new(),
             gateways,
             children: BTreeMap::new(),
         };
@@ -138,7 +141,7 @@
         let config = ProcessConfig {
             name: name.clone(),
             ip: process_ip(self.number, index),
-            store: self.store.endpoints[index].0,
+            store: self.store_addr(index),
             worker: sidecar.then(|| self.workers[index - self.gateways].addr),
         };
         let path = self.dir.join(format!("{name}.toml"));
@@ -160,6 +163,16 @@
         self.children.insert(name, child);
     }
 
+    fn store_addr(&self, index: usize) -> SocketAddr {
+        let endpoint = self.store.endpoints[index].0;
+        self.store_addrs.get(&index).copied().unwrap_or(endpoint)
+    }
+
+    /// Sets the address at which a process reaches the store from its next start.
+    pub fn set_store_addr(&mut self, index: usize, addr: SocketAddr) {
+        self.store_addrs.insert(index, addr);
+    }
+
     /// Kills a process with SIGKILL and waits for its end.
     pub fn kill(&mut self, index: usize) {
         let child = self.children.get_mut(&self.process_name(index));
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -13,6 +13,7 @@
 mod explain;
 mod failures;
 mod fleet;
+mod fleet_configuration;
 mod fleet_evacuation;
 #[expect(
     dead_code,
@@ -26,3 +27,4 @@
 mod soak;
 mod soak_evacuations;
 mod stops;
+mod store_link;
