Read the newest manifest alone once a gateway falls behind

Callers saw: requests answered with 404 by an older version up to 25 s after a newer one had been confirmed, on gateways with a link of 10 Mbit/s and a manifest of 0.5 MB that changes each second.

Cause: a watch returns every version since the last one that was seen, and its time-out is fixed. What had arrived by then was thrown away, and the next watch asked for still more. A gateway that needed longer than the time-out once stayed behind until the changes ended or the store dropped the history. The class: a retry whose work grows while it fails.

Change: the manifest has a feed of its own on every gateway, which reads the newest version alone after a failure or an answer with more than one version. The feed of everything covers the keys of the fleet roles only, so that placer and standbys no longer receive each version twice. The fake store of the cache's tests takes the new prefix for that feed; what the tests check is unchanged.

--- a/crates/coordination/src/lib.rs
+++ b/crates/coordination/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod duty_cycle;
 pub mod evacuation;
 pub mod fence;
+pub mod freshness;
 pub mod gang;
 pub mod generation;
 pub mod key_gate;
--- a/crates/coordination/tests/suite/main.rs
+++ b/crates/coordination/tests/suite/main.rs
@@ -6,6 +6,7 @@
 mod duty_cycle;
 mod evacuation;
 mod fixtures;
+mod freshness;
 mod gang;
 mod keyed;
 mod membership;
--- a/crates/roles/src/fleet/cache/follow.rs
+++ b/crates/roles/src/fleet/cache/follow.rs
@@ -1,4 +1,4 @@
-//! Keeps the cache current by watches and listings of the store.
+//! Keeps the cache of the fleet roles' keys current by watches and listings of the store.
 
 use super::StoreCache;
 use crate::fleet::Shared;
@@ -46,7 +46,7 @@
 /// The time that a peer may take to answer.
 const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 /// The cache may be out of date if its last successful update is older than this.
-const MAX_AGE: Duration = Duration::from_millis(2_200);
+pub(super) const MAX_AGE: Duration = Duration::from_millis(2_200);
 
 /// The keys with one prefix, as far as they are followed.
 pub(super) struct Feed {
@@ -146,8 +146,8 @@
         }
         feed.revision.set(revision);
         // A standby does not follow the records while the gateways are listed again.
-        let is_kept =
-            !feed.prefix.is_empty() || (self.follows_records() && self.drops.get() == drops);
+        let has_records = feed.prefix == self.everything.prefix;
+        let is_kept = !has_records || (self.follows_records() && self.drops.get() == drops);
         feed.synced.set(is_kept);
         Ok(())
     }
--- a/crates/roles/src/fleet/cache/mod.rs
+++ b/crates/roles/src/fleet/cache/mod.rs
@@ -5,6 +5,7 @@
 //! receives every change of every record. The other gateways ask them for the state of a job.
 
 mod follow;
+pub mod manifest;
 
 pub use follow::fetch_from_peers;
 pub use follow::follow;
@@ -18,7 +19,9 @@
 use bytes::Bytes;
 use compio::time::sleep;
 use follow::Feed;
+use follow::MAX_AGE;
 use futures_channel::mpsc;
+use hibiscusbarrow_coordination::freshness::Freshness;
 use hibiscusbarrow_coordination::succession;
 use hibiscusbarrow_coordination::succession::Candidate;
 use hibiscusbarrow_coordination::succession::STANDBYS;
@@ -86,16 +89,18 @@
     succession: RefCell<Vec<SmolStr>>,
     /// Whether this gateway holds the placer's lease.
     placing: Cell<bool>,
-    /// The feed of all keys.
+    /// The feed of all keys of the fleet roles.
     everything: Rc<Feed>,
     /// The feed of the evacuated failure domains, if they can be requested; the placer follows it.
     evacuations: Option<Rc<Feed>>,
     evacuated: RefCell<Rc<BTreeSet<SmolStr>>>,
-    /// The feeds of the directory: the manifest, the gateways and the placer.
-    directory: [Rc<Feed>; 3],
+    /// The feeds of the directory: the gateways and the placer.
+    directory: [Rc<Feed>; 2],
     manifest: RefCell<Option<Rc<Manifest>>>,
     /// The manifest as stored.
     raw_manifest: RefCell<Bytes>,
+    /// When the manifest was confirmed.
+    freshness: RefCell<Freshness>,
     /// How often records were dropped, as this gateway did not follow them.
     drops: Cell<u64>,
     /// The newest known revision of each key.
@@ -109,7 +114,7 @@
     /// Creates an empty cache of the gateway with these settings.
     ///
     /// `evacuations` is the prefix of requests to evacuate a failure domain, if there are any.
-    pub fn new(settings: &Settings, manifest_key: SmolStr, evacuations: Option<SmolStr>) -> Self {
+    pub fn new(settings: &Settings, evacuations: Option<SmolStr>) -> Self {
         let bound = settings.bounds.evacuation;
         let evacuations = evacuations.zip(bound);
         Self {
@@ -122,17 +127,13 @@
             placer: RefCell::default(),
             succession: RefCell::new(vec![settings.name.clone()]),
             placing: Cell::new(false),
-            everything: Feed::new(""),
+            everything: Feed::new(keys::PREFIX),
             evacuations: evacuations.map(|(prefix, bound)| Feed::of_evacuations(prefix, bound)),
             evacuated: RefCell::default(),
-            directory: [
-                manifest_key,
-                keys::GATEWAY_PREFIX.into(),
-                keys::PLACER_KEY.into(),
-            ]
-            .map(Feed::new),
+            directory: [keys::GATEWAY_PREFIX, keys::PLACER_KEY].map(Feed::new),
             manifest: RefCell::default(),
             raw_manifest: RefCell::default(),
+            freshness: RefCell::new(Freshness::new(settings.config_bound)),
             drops: Cell::new(0),
             revisions: RefCell::default(),
             down_since: Cell::new(None),
@@ -182,7 +183,9 @@
     /// Returns whether the manifest, the gateways and the placer were updated or confirmed
     /// within [`MAX_AGE`].
     pub fn is_fresh(&self, now: Duration) -> bool {
-        self.has_fresh_records(now) || self.directory.iter().all(|f| f.is_fresh(now))
+        let age = self.freshness.borrow().age(now);
+        let has_directory = || self.directory.iter().all(|f| f.is_fresh(now));
+        age.is_some_and(|a| a < MAX_AGE) && (self.has_fresh_records(now) || has_directory())
     }
 
     /// Returns whether this gateway is the placer or a standby, which follow all records.
@@ -199,7 +202,7 @@
     /// Returns the position of this gateway in the order of succession; none before the
     /// registered gateways are known.
     pub fn rank(&self) -> Option<usize> {
-        let [_, gateways, _] = &self.directory;
+        let [gateways, _] = &self.directory;
         if !gateways.synced.get() && !self.everything.synced.get() {
             return None;
         }
--- a/crates/roles/src/fleet/gateway.rs
+++ b/crates/roles/src/fleet/gateway.rs
@@ -3,6 +3,7 @@
 use super::Shared;
 use super::cache;
 use super::cache::StoreCache;
+use super::cache::manifest;
 use super::callers::CallerService;
 use super::check_limits;
 use super::create_limiter;
@@ -54,9 +55,8 @@
     callers: CallerCodec,
     policy: PolicyService,
 ) -> anyhow::Result<()> {
-    let manifest_key = shared.store.manifest_key.clone();
     let evacuations = shared.store.evacuation_prefix.clone();
-    let cache = StoreCache::new(&shared.settings, manifest_key, evacuations);
+    let cache = StoreCache::new(&shared.settings, evacuations);
     let cache = Rc::new(cache);
     let rpc = Rc::new(RpcClient::default());
     let direct_store = shared.store.clone();
@@ -93,6 +93,11 @@
     limiter.log_limits();
 
     spawn(cache::follow(shared.clone(), cache.clone()));
+    spawn(manifest::follow_manifest(
+        shared.clone(),
+        cache.clone(),
+        direct_store.clone(),
+    ));
     spawn(cache::fetch_from_peers(
         shared.clone(),
         cache.clone(),
--- a/crates/roles/src/fleet/keys.rs
+++ b/crates/roles/src/fleet/keys.rs
@@ -3,6 +3,9 @@
 use smol_str::SmolStr;
 use smol_str::format_smolstr;
 
+/// The prefix of all keys of the fleet roles.
+pub const PREFIX: &str = "hibiscusbarrow/";
+
 /// The key of the placer's claim, which is bound to its lease.
 pub const PLACER_KEY: &str = "hibiscusbarrow/placer";
 
--- a/crates/roles/src/fleet/port.rs
+++ b/crates/roles/src/fleet/port.rs
@@ -48,6 +48,8 @@
     pub limits: MachineLimits,
     /// The time from the request to stop until the process must have ended.
     pub shutdown_timeout: Duration,
+    /// The time within which a change of the manifest must be in force.
+    pub config_bound: Duration,
     /// Time limits that the platform guarantees.
     pub bounds: Bounds,
     /// What learned run times are used for.
--- a/crates/roles/tests/cache.rs
+++ b/crates/roles/tests/cache.rs
@@ -27,6 +27,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+/// The prefix of the keys that standbys follow.
+const ALL_KEYS: &str = "hibiscusbarrow/";
 const GATEWAYS: &str = "hibiscusbarrow/gateway/";
 /// How long the store takes for a page of a listing.
 const PAGE_TIME: Duration = Duration::from_millis(100);
@@ -81,7 +83,7 @@
     }
 
     async fn list(self: Rc<Self>, prefix: SmolStr, after: SmolStr) -> Result<Page, StoreError> {
-        if prefix.is_empty() {
+        if prefix == ALL_KEYS {
             self.pages.set(self.pages.get() + 1);
         }
         sleep(PAGE_TIME).await;
@@ -105,7 +107,7 @@
             self.failures.set(self.failures.get() - 1);
             return Err(StoreError::Unknown("the call timed out".into()));
         }
-        while after < self.compacted.get() && !prefix.is_empty() && self.pages.get() == pages {
+        while after < self.compacted.get() && prefix != ALL_KEYS && self.pages.get() == pages {
             sleep(Duration::from_millis(5)).await;
         }
         if after < self.compacted.get() {
@@ -160,6 +162,7 @@
             metrics_addr: addr,
             limits: MachineLimits::default(),
             shutdown_timeout: Duration::from_secs(1),
+            config_bound: Duration::from_secs(2),
             bounds,
             learned_times: LearnedTimes::default(),
         },
@@ -192,7 +195,7 @@
             fake.put_job(id);
         }
         let shared = shared(port(&fake));
-        let cache = Rc::new(StoreCache::new(&shared.settings, "manifest".into(), None));
+        let cache = Rc::new(StoreCache::new(&shared.settings, None));
         compio::runtime::spawn(follow(shared.clone(), cache.clone())).detach();
         wait_for("the first listing", || cache.jobs.borrow().len() == 4).await;
         wait_for("records", || cache.has_fresh_records(shared.clock.now())).await;
@@ -220,7 +223,7 @@
     };
     let shared = shared_with(port(fake), bounds);
     let prefix = Some(EVACUATIONS.into());
-    let cache = StoreCache::new(&shared.settings, "manifest".into(), prefix);
+    let cache = StoreCache::new(&shared.settings, prefix);
     let cache = Rc::new(cache);
     cache.set_placing(true);
     compio::runtime::spawn(follow(shared.clone(), cache.clone())).detach();
@@ -370,7 +373,7 @@
         fake.put(&format!("{GATEWAYS}gateway"), "127.0.0.1:1 1000 a");
         fake.put("op/evacuate/a", "");
         let shared = shared(port(&fake));
-        let cache = Rc::new(StoreCache::new(&shared.settings, "manifest".into(), None));
+        let cache = Rc::new(StoreCache::new(&shared.settings, None));
         compio::runtime::spawn(follow(shared.clone(), cache.clone())).detach();
         wait_for("records", || cache.has_fresh_records(shared.clock.now())).await;
 
--- a/crates/roles/tests/run_times.rs
+++ b/crates/roles/tests/run_times.rs
@@ -78,6 +78,7 @@
             metrics_addr: addr,
             limits: MachineLimits::default(),
             shutdown_timeout: Duration::from_secs(1),
+            config_bound: Duration::from_secs(2),
             bounds: Bounds::default(),
             learned_times: LearnedTimes::default(),
         },
