Ask several gateways about the manifest before the bound has passed

Callers saw: a revoked key accepted, and a new one rejected, more than 2 s after the change, by gateways to which the store is silent while it serves others.

Cause: the path by which such a gateway learned of a change had its time-outs in series: a watch of 1.2 s, 0.32 s until another gateway was asked, 0.8 s for each that was turned away as well, and on placer and standbys 2.2 s before any of it began. No constant followed from the bound. The class: a bound that is the sum of independent time-outs.

A newer manifest comes compressed (flate2) from one of them. The time of a call no longer counts towards another one's.

--- a/crates/roles/src/fleet/cache/follow.rs
+++ b/crates/roles/src/fleet/cache/follow.rs
@@ -5,9 +5,7 @@
 use crate::fleet::port::Item;
 use crate::fleet::port::StoreError;
 use compio::time::sleep;
-use hibiscusbarrow_adapters::rpc::RpcClient;
 use hibiscusbarrow_model::event::Event;
-use rand::seq::SliceRandom;
 use smol_str::SmolStr;
 use std::cell::Cell;
 use std::collections::HashSet;
@@ -39,14 +37,8 @@
 const RETRY_DELAY: Duration = Duration::from_millis(150);
 /// How often a feed checks whether the store has answered a probe.
 const DOWN_CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// The time between two requests to peers for a newer manifest.
-const PEER_INTERVAL: Duration = Duration::from_millis(400);
-/// The number of peers that are asked in one round.
-const PEERS_PER_ROUND: usize = 3;
-/// The time that a peer may take to answer.
-const PEER_TIMEOUT: Duration = Duration::from_millis(400);
 /// The cache may be out of date if its last successful update is older than this.
-pub(super) const MAX_AGE: Duration = Duration::from_millis(2_200);
+const MAX_AGE: Duration = Duration::from_millis(2_200);
 
 /// The keys with one prefix, as far as they are followed.
 pub(super) struct Feed {
@@ -255,24 +247,3 @@
     feed.revision.set(page.revision.max(feed.revision.get()));
     Ok(())
 }
-
-/// Requests a newer manifest from a few other gateways at a time while the cache is out of
-/// date.
-pub async fn fetch_from_peers(shared: Rc<Shared>, cache: Rc<StoreCache>, rpc: Rc<RpcClient>) {
-    loop {
-        sleep(PEER_INTERVAL).await;
-        if cache.is_fresh(shared.clock.now()) {
-            continue;
-        }
-        let mut peers = cache.peer_addrs();
-        peers.shuffle(&mut rand::rng());
-        for addr in peers.into_iter().take(PEERS_PER_ROUND) {
-            let version = cache.manifest().map_or(0, |m| m.version);
-            match rpc.config(addr, version, PEER_TIMEOUT).await {
-                Ok(Some((_, raw))) => cache.apply_manifest(&shared, &raw, &addr.to_string()),
-                Ok(None) => {}
-                Err(_) => rpc.disconnect(addr),
-            }
-        }
-    }
-}
--- a/crates/roles/src/fleet/cache/mod.rs
+++ b/crates/roles/src/fleet/cache/mod.rs
@@ -7,7 +7,6 @@
 mod follow;
 pub mod manifest;
 
-pub use follow::fetch_from_peers;
 pub use follow::follow;
 
 use super::Shared;
@@ -19,7 +18,6 @@
 use bytes::Bytes;
 use compio::time::sleep;
 use follow::Feed;
-use follow::MAX_AGE;
 use futures_channel::mpsc;
 use hibiscusbarrow_coordination::freshness::Freshness;
 use hibiscusbarrow_coordination::succession;
@@ -99,8 +97,12 @@
     manifest: RefCell<Option<Rc<Manifest>>>,
     /// The manifest as stored.
     raw_manifest: RefCell<Bytes>,
+    /// The same, compressed for another gateway that asked for it.
+    packed_manifest: RefCell<Option<Bytes>>,
     /// When the manifest was confirmed.
     freshness: RefCell<Freshness>,
+    /// Whether the manifest of another gateway is being fetched.
+    fetching: Cell<bool>,
     /// How often records were dropped, as this gateway did not follow them.
     drops: Cell<u64>,
     /// The newest known revision of each key.
@@ -133,7 +135,9 @@
             directory: [keys::GATEWAY_PREFIX, keys::PLACER_KEY].map(Feed::new),
             manifest: RefCell::default(),
             raw_manifest: RefCell::default(),
+            packed_manifest: RefCell::default(),
             freshness: RefCell::new(Freshness::new(settings.config_bound)),
+            fetching: Cell::new(false),
             drops: Cell::new(0),
             revisions: RefCell::default(),
             down_since: Cell::new(None),
@@ -152,6 +156,14 @@
         (current > version).then(|| (current, self.raw_manifest.borrow().clone()))
     }
 
+    /// Returns the manifest in compressed form.
+    fn packed_manifest(&self) -> Bytes {
+        let mut packed = self.packed_manifest.borrow_mut();
+        packed
+            .get_or_insert_with(|| manifest::pack(&self.raw_manifest.borrow()))
+            .clone()
+    }
+
     /// Returns the evacuated failure domains, and when the newest call was sent that confirmed them;
     /// none before the first one.
     pub fn evacuated(&self) -> Option<(Rc<BTreeSet<SmolStr>>, Duration)> {
@@ -180,12 +192,9 @@
         self.follows_records() && self.everything.is_fresh(now)
     }
 
-    /// Returns whether the manifest, the gateways and the placer were updated or confirmed
-    /// within [`MAX_AGE`].
+    /// Returns whether the gateways and the placer were updated or confirmed within [`MAX_AGE`].
     pub fn is_fresh(&self, now: Duration) -> bool {
-        let age = self.freshness.borrow().age(now);
-        let has_directory = || self.directory.iter().all(|f| f.is_fresh(now));
-        age.is_some_and(|a| a < MAX_AGE) && (self.has_fresh_records(now) || has_directory())
+        self.has_fresh_records(now) || self.directory.iter().all(|f| f.is_fresh(now))
     }
 
     /// Returns whether this gateway is the placer or a standby, which follow all records.
@@ -226,6 +235,13 @@
         others.map(|(_, g)| g.addr).collect()
     }
 
+    /// Returns the addresses and capacities of all other gateways.
+    fn peers(&self) -> Vec<(SocketAddr, u64)> {
+        let gateways = self.gateways.borrow();
+        let others = gateways.iter().filter(|(n, _)| **n != self.name);
+        others.map(|(_, g)| (g.addr, g.capacity)).collect()
+    }
+
     /// Returns the address of the placer, unless this gateway is the placer.
     pub fn placer_addr(&self) -> Option<SocketAddr> {
         let (name, _) = self.placer.borrow().clone()?;
@@ -362,6 +378,7 @@
             .metrics
             .set_gauge("manifest_version", manifest.version);
         *self.raw_manifest.borrow_mut() = raw.clone();
+        *self.packed_manifest.borrow_mut() = None;
         *self.manifest.borrow_mut() = Some(Rc::new(manifest));
         self.publish(&Change::Manifest);
     }
--- a/crates/roles/src/fleet/gateway.rs
+++ b/crates/roles/src/fleet/gateway.rs
@@ -98,7 +98,7 @@
         cache.clone(),
         direct_store.clone(),
     ));
-    spawn(cache::fetch_from_peers(
+    spawn(manifest::poll_peers(
         shared.clone(),
         cache.clone(),
         rpc.clone(),
@@ -200,6 +200,9 @@
                 if request.service == status::SERVICE {
                     return status::handle(&cache, &shared, &request);
                 }
+                if request.service == manifest::SERVICE {
+                    return manifest::handle(&cache, &shared, &request);
+                }
                 if request.service == notify::SERVICE {
                     return notify::handle(&cache, &unconfirmed, &shared, &request);
                 }
