Refuse callers while the configuration in force cannot be proven

Callers saw: a new key rejected with 401 more than 2 s after it was added, by a gateway that reached neither the store nor another gateway.

Cause: callers were admitted by the cached manifest whatever its age; only readiness asked for it. The class: a bound that is checked where it is reported and not where it matters.

Change: a manifest that was confirmed at time T serves until T + config-apply-ms. After that callers get 503 with HB507, and nothing has been run.

--- a/crates/model/src/code.rs
+++ b/crates/model/src/code.rs
@@ -76,6 +76,7 @@
     NoHold = 504, 409, "The gang has no valid hold on the worker.";
     NotReady = 505, 503, "The process has no configuration yet.";
     PeerDown = 506, 503, "The peer did not answer.";
+    ConfigUnproven = 507, 503, "The process cannot prove that its configuration is in force.";
     Internal = 599, 500, "The process encountered an unexpected condition.";
 }
 
@@ -94,6 +95,7 @@
                 | Code::UnknownService
                 | Code::BadRequest
                 | Code::NotReady
+                | Code::ConfigUnproven
         )
     }
 }
--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -59,6 +59,8 @@
     ConfigAccepted = 1401, "A configuration generation was accepted.";
     ConfigApplied = 1402, "A configuration generation took effect in this process.";
     ConfigRefused = 1403, "A configuration was refused.";
+    ConfigUnproven = 1404, "Callers are refused, as the process cannot prove that its configuration is in force.";
+    ConfigProven = 1405, "Callers are served again, as the configuration is proven to be in force.";
     PlacerElected = 1501, "The process acquired the placer lease of its region.";
     PlacerLapsed = 1502, "The placer lease expired or was handed over.";
     JobAccepted = 1601, "A job was stored and acknowledged.";
--- a/crates/roles/src/fleet/cache/manifest.rs
+++ b/crates/roles/src/fleet/cache/manifest.rs
@@ -168,8 +168,10 @@
         failed_at: RefCell::default(),
         preferred: Cell::new(None),
     });
+    let mut allows_use = true;
     loop {
         let now = poller.shared.clock.now();
+        poller.report(&mut allows_use, now);
         let freshness = poller.cache.freshness.borrow().clone();
         if !freshness.needs_peers(now) {
             sleep(CHECK_INTERVAL).await;
@@ -200,6 +202,27 @@
 }
 
 impl Poller {
+    /// Logs when callers begin to be refused, or are served again, because of the manifest's age.
+    fn report(&self, allowed: &mut bool, now: Duration) {
+        let freshness = self.cache.freshness.borrow();
+        let age = freshness.age(now);
+        let age_ms = age.map_or(0, |age| age.as_millis() as u64);
+        let metrics = &self.shared.metrics;
+        metrics.set_gauge("manifest_age_ms", age_ms);
+        let allows_use = freshness.allows_use(now) || self.cache.manifest().is_none();
+        if std::mem::replace(allowed, allows_use) == allows_use {
+            return;
+        }
+        let version = self.cache.manifest().map_or(0, |m| m.version);
+        let detail = format!("version={version} age={age:?}");
+        let event = if allows_use {
+            Event::ConfigProven
+        } else {
+            Event::ConfigUnproven
+        };
+        self.shared.log.emit(event, "manifest", detail);
+    }
+
     /// Asks some gateways at the same time, until one proves its manifest or the time is over.
     async fn poll(self: &Rc<Self>, asks_many: bool) {
         let count = if asks_many { MANY_PEERS } else { PEERS };
--- a/crates/roles/src/fleet/cache/mod.rs
+++ b/crates/roles/src/fleet/cache/mod.rs
@@ -164,6 +164,12 @@
             .clone()
     }
 
+    /// Returns whether callers may be served by the manifest: none can be in force that it lacks, or
+    /// the store is out of reach for all gateways.
+    pub fn allows_callers(&self, now: Duration) -> bool {
+        self.freshness.borrow().allows_use(now)
+    }
+
     /// Returns the evacuated failure domains, and when the newest call was sent that confirmed them;
     /// none before the first one.
     pub fn evacuated(&self) -> Option<(Rc<BTreeSet<SmolStr>>, Duration)> {
--- a/crates/roles/src/fleet/callers/mod.rs
+++ b/crates/roles/src/fleet/callers/mod.rs
@@ -100,6 +100,11 @@
         let Some(manifest) = self.cache.manifest() else {
             return (Code::NotReady, self.retry_later(503, DEFAULT_TIMEOUT));
         };
+        if !self.cache.allows_callers(started_at) {
+            let code = Code::ConfigUnproven;
+            let reply = self.retry_later(code_status(code), DEFAULT_TIMEOUT);
+            return (code, reply);
+        }
         let admitted = match self.admit(&manifest, &request, started_at) {
             Ok(admitted) => admitted,
             Err(code) => return (code, text_reply(code_status(code), "")),
--- a/crates/roles/src/fleet/gateway.rs
+++ b/crates/roles/src/fleet/gateway.rs
@@ -214,8 +214,8 @@
     rpc::serve_limited(listener, handlers, rpc::Shutdown::default(), limits).await;
 }
 
-/// Serves readiness checks. The gateway is ready while its cache is up to date, it has a
-/// manifest and no planned stop has begun.
+/// Serves readiness checks. The gateway is ready while its cache is up to date, it may serve
+/// callers by its manifest and no planned stop has begun.
 async fn serve_readiness(
     listener: TcpListener,
     limiter: ClientLimiter,
@@ -224,7 +224,9 @@
 ) {
     let handler = move |_| {
         let fresh = cache.is_fresh(shared.clock.now());
-        let is_ready = fresh && cache.manifest().is_some() && !shared.stop.is_raised();
+        let allows_callers = cache.allows_callers(shared.clock.now());
+        let serves = allows_callers && cache.manifest().is_some();
+        let is_ready = fresh && serves && !shared.stop.is_raised();
         async move { text_reply(if is_ready { 200 } else { 503 }, "") }
     };
     serve_limited(listener, limiter, check_limits(), Flag::default(), handler).await;
