Wait for a connection on which a newcomer can be refused

Callers saw: connections reset without an answer in a burst beyond the limits, instead of 503 with retry-after.

Cause: the loop that accepts connections took its whole queue before a refusal could be sent, and closed what came after the connections for refusals were in use. The class: a small pool that is drained by work which the loop that fills it keeps from running.

Evidence: http_limits::unfinished_bodies_make_way_for_ordinary_requests failed in 4 of 40 runs beside 12 busy processes; in a traced one 27 connections were closed within 2 ms. The new test shows 32 of 40 newcomers without an answer on the former code, 3 of 3 runs.

Change: accepting waits up to 250 ms for one of these connections, and closes at once for a second after a wait in vain.

Measured: the new test 3 of 3; both tests beside 12 busy processes 60 of 60; the whole http_limits 3 of 3.

--- a/crates/adapters/src/clients/mod.rs
+++ b/crates/adapters/src/clients/mod.rs
@@ -53,6 +53,9 @@
 /// After a wait for a connection that did not make room, others are refused without a wait for
 /// this time, so that clients that send steadily cannot delay all newcomers.
 const NO_WAIT_PERIOD: Duration = Duration::from_secs(1);
+/// The longest wait of a newcomer for a connection on which it can be refused. A burst fills them
+/// before the first refusal is sent, and a client that sends its request leaves within milliseconds.
+const OVERFLOW_WAIT: Duration = Duration::from_millis(250);
 /// The longest wait for connections that are being closed to release what they hold.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 /// The most lines that are logged for one event within [`LOG_WINDOW`], so that clients cannot
@@ -79,6 +82,8 @@
     lines: RefCell<BTreeMap<Event, LogWindow>>,
     /// Until when newcomers are refused without a wait for connections that may stall.
     no_wait_until: Cell<Duration>,
+    /// Until when newcomers are closed without a wait for a connection to refuse them on.
+    no_refusal_until: Cell<Duration>,
     clock: Clock,
     log: EventLog,
     metrics: Rc<Metrics>,
@@ -116,6 +121,7 @@
             waiting: RefCell::default(),
             lines: RefCell::default(),
             no_wait_until: Cell::default(),
+            no_refusal_until: Cell::default(),
             clock,
             log,
             metrics,
@@ -207,6 +213,47 @@
         }))
     }
 
+    /// Opens a connection on which a client can be refused; waits for a short time while all of them
+    /// are in use.
+    ///
+    /// # Errors
+    ///
+    /// Fails if none becomes free, and at once for a while after that.
+    pub(crate) async fn open_overflow(
+        &self,
+        addr: SocketAddr,
+        abort: AbortHandle,
+    ) -> Result<Rc<ClientConnection>, Exhausted> {
+        let now = self.inner.clock.now();
+        let may_wait = now >= self.inner.no_refusal_until.get();
+        let deadline = now + OVERFLOW_WAIT;
+        loop {
+            let opened = self.open(Class::Overflow, addr, abort.clone()).await;
+            let now = self.inner.clock.now();
+            if opened.is_ok() || !may_wait {
+                return opened;
+            }
+            if now >= deadline || !self.wait_for_any_release(deadline - now).await {
+                let now = self.inner.clock.now();
+                self.inner.no_refusal_until.set(now + NO_WAIT_PERIOD);
+                return opened;
+            }
+        }
+    }
+
+    /// Waits until any connection releases a part of what it holds; returns whether one did in time.
+    async fn wait_for_any_release(&self, longest: Duration) -> bool {
+        let mut is_waiting = false;
+        let release = poll_fn(|cx| {
+            if std::mem::replace(&mut is_waiting, true) {
+                return Poll::Ready(());
+            }
+            self.wait_for_release(cx);
+            Poll::Pending
+        });
+        timeout(longest, release).await.is_ok()
+    }
+
     async fn open_at_once(
         &self,
         class: Class,
--- a/crates/adapters/src/http/server.rs
+++ b/crates/adapters/src/http/server.rs
@@ -318,7 +318,7 @@
 ) -> Option<Rc<ClientConnection>> {
     match limiter.open(class, addr, abort.clone()).await {
         Ok(connection) => Some(connection),
-        Err(Exhausted) => limiter.open(Class::Overflow, addr, abort).await.ok(),
+        Err(Exhausted) => limiter.open_overflow(addr, abort).await.ok(),
     }
 }
 
--- a/crates/adapters/tests/http_limits.rs
+++ b/crates/adapters/tests/http_limits.rs
@@ -44,6 +44,8 @@
 /// The size of the answer to `/large`, which exceeds the buffers of the system.
 const LARGE_BYTES: usize = 8 << 20;
 
+/// For how long a request to `/busy` keeps the server from everything else.
+const BUSY_TIME: Duration = Duration::from_millis(400);
 /// A bound on what a single question for the metrics holds.
 const OWN_BYTES: u64 = 256 << 10;
 
@@ -95,7 +97,10 @@
         "/metrics" => text_reply(200, metrics.render()),
         "/large" => text_reply(200, vec![b'x'; LARGE_BYTES]),
         "/panic" => panic!("the handler fails"),
-        "/gated" => {
+        "/gated" | "/busy" => {
+            if request.path == "/busy" {
+                std::thread::sleep(BUSY_TIME);
+            }
             while !gate.load(Ordering::SeqCst) {
                 compio::time::sleep(Duration::from_millis(5)).await;
             }
@@ -445,6 +450,30 @@
     server.wait_until_released();
 }
 
+// Guards against a burst of newcomers of which all but the first few are closed without an answer.
+// They are accepted one after the other before any of the first ones can be refused, so that the
+// connections for refusals are in use for an instant.
+#[test]
+fn each_newcomer_of_a_burst_is_told_that_it_is_refused() {
+    let server = start(pools(64 << 20, 5), short_limits());
+    let gated = post("/gated", b"", "connection: close\r\n");
+    let at_work: Vec<_> = (0..4).map(|_| server.send(&gated)).collect();
+    wait_until("all are at work", || server.level("connections") == 5);
+    let busy = server.send(&post("/busy", b"", ""));
+    std::thread::sleep(BUSY_TIME / 4);
+
+    let request = post("/", b"hello", "connection: close\r\n");
+    let newcomers: Vec<_> = (0..40).map(|_| server.send(&request)).collect();
+    let answers: Vec<String> = newcomers.into_iter().map(read_to_end).collect();
+    server.gate.store(true, Ordering::SeqCst);
+
+    let unanswered = answers.iter().filter(|a| !a.contains("retry-after: 1"));
+    assert_eq!(unanswered.count(), 0, "of 40 newcomers");
+    drop(busy);
+    drop(at_work);
+    server.wait_until_released();
+}
+
 // Guards against a body that is read although its memory is in use by requests at work.
 #[test]
 fn large_body_is_refused_while_requests_at_work_hold_the_memory() {
