--- a/crates/adapters/src/http/client.rs
+++ b/crates/adapters/src/http/client.rs
@@ -4,7 +4,10 @@
 use crate::clients::LimitedStream;
 use bytes::Bytes;
 use compio::net::TcpStream;
+use compio::time::sleep;
 use compio::time::timeout;
+use futures_util::future::Either;
+use futures_util::future::select;
 use http::Response;
 use http_body_util::BodyExt;
 use http_body_util::Full;
@@ -15,6 +18,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::time::Duration;
 
 /// The largest number of idle connections in the pool for one address.
@@ -56,6 +60,17 @@
 /// The address of a process, and its number if connections are opened with a greeting.
 type Peer = (SocketAddr, Option<u64>);
 
+/// How long a call may take whose answer can be large and its path slow.
+#[derive(Clone, Copy, Debug)]
+pub struct Patience {
+    /// The time until the first bytes of the answer's body.
+    pub first: Duration,
+    /// The time in which further bytes have to arrive.
+    pub idle: Duration,
+    /// The time for the whole call.
+    pub total: Duration,
+}
+
 /// How far a call has come.
 #[derive(Default)]
 struct Progress {
@@ -66,6 +81,17 @@
 }
 
 impl Progress {
+    /// Waits until the answer has ceased to arrive, or has taken too long.
+    async fn wait_for_stall(&self, patience: Patience) {
+        sleep(patience.first).await;
+        let (mut elapsed, mut seen) = (patience.first, 0);
+        while self.received.get() > seen && elapsed < patience.total {
+            seen = self.received.get();
+            sleep(patience.idle).await;
+            elapsed += patience.idle;
+        }
+    }
+
     /// Returns the failure of a call that has timed out.
     fn timeout_error(&self) -> SendError {
         if !self.sent.get() {
@@ -101,6 +127,27 @@
             .await
     }
 
+    /// Sends a request and returns the complete answer, for which it waits as long as bytes arrive.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`Self::call`].
+    pub async fn download(
+        &self,
+        addr: SocketAddr,
+        request: http::Request<Bytes>,
+        patience: Patience,
+        max_body: usize,
+    ) -> Result<Response<Bytes>, SendError> {
+        let progress = Progress::default();
+        let call = pin!(self.exchange(addr, None, request, max_body, &progress));
+        let stall = pin!(progress.wait_for_stall(patience));
+        match select(call, stall).await {
+            Either::Left((result, _)) => result,
+            Either::Right(_) => Err(progress.timeout_error()),
+        }
+    }
+
     /// Sends a request to the process that a greeting names, and to no other at the same address.
     ///
     /// The limits are those of [`Self::call`]; the time for a greeting counts towards the timeout.
--- a/crates/adapters/src/http/mod.rs
+++ b/crates/adapters/src/http/mod.rs
@@ -6,6 +6,7 @@
 
 pub use client::Greeting;
 pub use client::HttpClient;
+pub use client::Patience;
 pub use client::SendError;
 pub use server::Limits;
 pub use server::Reply;
