Fetch a manifest that cannot be read once a poll

Callers saw nothing of it; found in a review of the new code. Cause: the answer to a fetch was used like the answer to a poll, which begins a fetch while the version is higher. It now only confirms the manifest.

--- a/crates/adapters/src/clients/mod.rs
+++ b/crates/adapters/src/clients/mod.rs
@@ -218,7 +218,7 @@
     ///
     /// # Errors
     ///
-    /// Fails if none becomes free, and at once for a while after that.
+    /// Fails if none becomes free, and for [`NO_WAIT_PERIOD`] after that without a wait.
     pub(crate) async fn open_overflow(
         &self,
         addr: SocketAddr,
--- a/crates/roles/src/fleet/cache/manifest.rs
+++ b/crates/roles/src/fleet/cache/manifest.rs
@@ -248,7 +248,7 @@
                 let Some(answer) = answer else { continue };
                 poll.answered += 1;
                 poll.proven |= self.is_proven(&answer, sent);
-                if self.take(peer, sent, answer) {
+                if self.take(peer, sent, &answer) {
                     break;
                 }
             }
@@ -261,21 +261,26 @@
     }
 
     /// Uses an answer, and returns whether the manifest is proven by it.
-    fn take(self: &Rc<Self>, peer: SocketAddr, sent: Duration, answer: Answer) -> bool {
-        let version = self.cache.manifest().map_or(0, |m| m.version);
-        let is_proven = self.is_proven(&answer, sent);
-        if is_proven {
+    fn take(self: &Rc<Self>, peer: SocketAddr, sent: Duration, answer: &Answer) -> bool {
+        if self.is_proven(answer, sent) {
             self.preferred.set(Some(peer));
         }
+        let version = self.cache.manifest().map_or(0, |m| m.version);
         if answer.version > version {
             self.fetch(peer);
-            return false;
         }
-        if answer.version == version {
-            let confirmed_at = confirmed_at(&answer, sent);
-            self.cache.freshness.borrow_mut().confirm(confirmed_at);
+        self.confirm(sent, answer)
+    }
+
+    /// Confirms the manifest by an answer with the same version, and returns whether that proves it.
+    fn confirm(&self, sent: Duration, answer: &Answer) -> bool {
+        let version = self.cache.manifest().map(|m| m.version);
+        if version != Some(answer.version) {
+            return false;
         }
-        is_proven && answer.version == version
+        let mut freshness = self.cache.freshness.borrow_mut();
+        freshness.confirm(confirmed_at(answer, sent));
+        self.is_proven(answer, sent)
     }
 
     /// Fetches the manifest of a gateway, unless another transfer is in progress.
@@ -302,7 +307,7 @@
                     log.emit(Event::PeerRefused, "manifest", detail);
                 }
             }
-            poller.take(peer, sent, answer);
+            poller.confirm(sent, &answer);
         })
         .detach();
     }
