--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -36,6 +36,15 @@
     children: Vec<Child>,
 }
 
+/// What the runners of a case are like.
+pub struct RunnerKind {
+    pub plan: Plan,
+    /// Whether they start again under the identifier that they had.
+    pub keep_id: bool,
+    /// A label that only the first of them has.
+    pub first_label: Option<&'static str>,
+}
+
 /// Returns a manifest with one queue and one tenant that has these keys.
 pub fn manifest(version: u64, keys: &[&str]) -> String {
     let keys: Vec<String> = keys.iter().map(|k| format!("\"{k}\"")).collect();
@@ -52,7 +61,7 @@
         gateways: usize,
         sidecars: usize,
         keys: &[&str],
-        plan: Plan,
+        runners: RunnerKind,
     ) -> Result<Fleet, String> {
         let pid = std::process::id();
         let net = format!("127.{}.{}", 64 + pid % 64, pid / 64 % 250 + 1);
@@ -77,15 +86,25 @@
         }
         for index in 0..sidecars {
             let ip = fleet.ip(gateways + index);
+            let mut labels = vec!["a".to_owned(), format!("r1-{}", index / 3)];
+            if index == 0 {
+                labels.extend(runners.first_label.map(str::to_owned));
+            }
             let place = Place {
-                id: format!("i-{index:02}"),
-                rack: format!("r1-{}", index / 3),
+                name: format!("i-{index:02}"),
+                keeps_id: runners.keep_id,
+                labels,
                 addr: format!("{ip}:8529"),
                 control: format!("{ip}:8526"),
                 service: SERVICE.to_owned(),
                 zone: zone(gateways + index),
             };
-            let runner = Runner::new(place, fleet.runs.clone(), record.clone(), plan.clone());
+            let runner = Runner::new(
+                place,
+                fleet.runs.clone(),
+                record.clone(),
+                runners.plan.clone(),
+            );
             runner.boot().map_err(|e| e.to_string())?;
             fleet.runners.push(runner);
         }
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -2,12 +2,15 @@
 //! brings one disruption about, and checks a rule by what clients and runners have seen.
 
 mod fleet;
+mod held_case;
 mod http;
 mod json;
 mod manifest_case;
 mod runner;
 mod store;
 mod stray_case;
+mod trial_case;
+mod waiting;
 
 use std::fs::File;
 use std::io::Write;
@@ -55,6 +58,8 @@
     let verdict = match case.as_str() {
         "stray-start" => stray_case::run(&record, trouble),
         "manifest" => manifest_case::run(&record, trouble),
+        "held" => held_case::run(&record, trouble),
+        "trial" => trial_case::run(&record, trouble),
         other => Verdict::Unclear(format!("no case {other}")),
     };
     let (text, code) = match verdict {
--- a/review/standin-3/manifest_case.rs
+++ b/review/standin-3/manifest_case.rs
@@ -3,6 +3,7 @@
 use crate::Record;
 use crate::Verdict;
 use crate::fleet::Fleet;
+use crate::fleet::RunnerKind;
 use crate::fleet::manifest;
 use crate::runner::Fate;
 use std::sync::Arc;
@@ -24,8 +25,13 @@
 
 pub fn run(record: &Arc<Record>, trouble: bool) -> Verdict {
     let plan = Arc::new(|_: &str, _: &str, _: u64, _: &Arc<_>, _: u64| Fate::Answered);
+    let runners = RunnerKind {
+        plan,
+        keep_id: false,
+        first_label: None,
+    };
     let keys = [KEPT_KEY, REVOKED_KEY];
-    let fleet = match Fleet::start(record, GATEWAYS, SIDECARS, &keys, plan) {
+    let fleet = match Fleet::start(record, GATEWAYS, SIDECARS, &keys, runners) {
         Ok(fleet) => fleet,
         Err(why) => return Verdict::Unclear(why),
     };
--- a/review/standin-3/runner.rs
+++ b/review/standin-3/runner.rs
@@ -19,6 +19,8 @@
 const MAX_HOLD_MS: u64 = 10_000;
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_500);
 const MAX_WAIT_MS: u64 = 2_000;
+/// The time after which a task that lasts is at work.
+const STARTUP: Duration = Duration::from_millis(300);
 
 /// One run of a task, as the rules see it.
 #[derive(Clone)]
@@ -46,7 +48,7 @@
     Held,
 }
 
-/// Decides the fate of the start or stop of a run: path, task, run, runner, boot.
+/// Decides the fate of an order: path, task, run (or `last-seen` of a hold), runner, boot.
 pub type Plan = Arc<dyn Fn(&str, &str, u64, &Arc<Runner>, u64) -> Fate + Send + Sync>;
 
 struct Running {
@@ -54,6 +56,8 @@
     ends: Instant,
     span: Duration,
     how: &'static str,
+    /// Whether the task lasts, so that its percentage shows whether it is at work.
+    lasts: bool,
 }
 
 #[derive(Default)]
@@ -74,8 +78,10 @@
 }
 
 pub struct Runner {
-    pub id: String,
-    rack: String,
+    /// The identifier, or its first part if each boot has one of its own.
+    pub name: String,
+    keeps_id: bool,
+    labels: Vec<String>,
     addr: String,
     control: String,
     service: String,
@@ -92,8 +98,11 @@
 }
 
 pub struct Place {
-    pub id: String,
-    pub rack: String,
+    pub name: String,
+    /// Whether the runner starts again under the identifier that it had.
+    pub keeps_id: bool,
+    /// The kind, the rack and others.
+    pub labels: Vec<String>,
     pub addr: String,
     pub control: String,
     pub service: String,
@@ -126,8 +135,9 @@
 impl Runner {
     pub fn new(place: Place, runs: Runs, record: Arc<Record>, plan: Plan) -> Arc<Runner> {
         let runner = Arc::new(Runner {
-            id: place.id,
-            rack: place.rack,
+            name: place.name,
+            keeps_id: place.keeps_id,
+            labels: place.labels,
             addr: place.addr,
             control: place.control,
             service: place.service,
@@ -178,7 +188,7 @@
             ..State::default()
         };
         self.record
-            .line(&format!("{} starts, boot {number}", self.id));
+            .line(&format!("{} starts, boot {number}", self.name));
         let beating = self.clone();
         std::thread::spawn(move || beating.beat());
         Ok(())
@@ -196,7 +206,15 @@
         }
         state.boot = 0;
         self.record
-            .line(&format!("{} crashes, boot {boot}", self.id));
+            .line(&format!("{} crashes, boot {boot}", self.name));
+    }
+
+    fn id_of(&self, boot: u64) -> String {
+        if self.keeps_id {
+            self.name.clone()
+        } else {
+            format!("{}-{boot}", self.name)
+        }
     }
 
     pub fn stop(&self) {
@@ -204,12 +222,15 @@
     }
 
     fn beat(&self) {
+        let path;
         let body = {
             let mut state = self.state.lock().unwrap();
             if state.boot == 0 {
                 return;
             }
             state.sequence += 1;
+            let labels = self.labels.iter().map(Json::str);
+            path = format!("/instances/{}", self.id_of(state.boot));
             Json::obj([
                 ("service", Json::str(self.service.clone())),
                 ("address", Json::str(self.addr.clone())),
@@ -226,16 +247,12 @@
                         ("gpu", Json::num(8)),
                     ]),
                 ),
-                (
-                    "labels",
-                    Json::Arr(vec![Json::str("a"), Json::str(self.rack.clone())]),
-                ),
+                ("labels", Json::Arr(labels.collect())),
                 ("clock-ms", Json::num(state.clock())),
                 ("born", Json::num(state.born)),
                 ("sequence", Json::num(state.sequence)),
             ])
         };
-        let path = format!("/instances/{}", self.id);
         let timeout = Duration::from_secs(1);
         let host = [("host", self.control.as_str())];
         let _ = call(
@@ -255,17 +272,17 @@
         if request.path == "/health" {
             return Some((200, "{}".to_owned()));
         }
-        if request.header("hibiscusbarrow-expect-instance") != self.id {
+        if request.header("hibiscusbarrow-expect-instance") != self.id_of(boot) {
             return Some((421, self.state.lock().unwrap().clock_json().to_string()));
         }
         let body = Json::parse(&request.body).unwrap_or(Json::Null);
         if request.path == "/hold" {
-            return Some((200, self.hold(boot, &body)?));
+            return self.answer_hold(boot, body);
         }
         let (task, run) = (body.text("task"), body.u64("run"));
         let order = format!(
             "{} {task} run {run} at {} boot {boot}",
-            request.path, self.id
+            request.path, self.name
         );
         match (self.plan)(&request.path, &task, run, self, boot) {
             Fate::Answered => {
@@ -299,6 +316,30 @@
         }
     }
 
+    fn answer_hold(self: &Arc<Self>, boot: u64, body: Json) -> Option<(u16, String)> {
+        let seen = body.u64("last-seen");
+        match (self.plan)("/hold", "", seen, self, boot) {
+            Fate::Answered => Some((200, self.hold(boot, &body)?)),
+            Fate::Late(delay) => {
+                let order = format!("/hold with last-seen {seen} at {} boot {boot}", self.name);
+                self.record
+                    .line(&format!("{order}: no answer, carried out in {delay:?}"));
+                let runner = self.clone();
+                std::thread::spawn(move || {
+                    std::thread::sleep(delay);
+                    let now = runner.state.lock().unwrap().boot;
+                    if now > 0 && runner.hold(now, &body).is_some() {
+                        runner
+                            .record
+                            .line(&format!("{order}, carried out late by boot {now}"));
+                    }
+                });
+                None
+            }
+            Fate::Held => None,
+        }
+    }
+
     /// Carries out the orders that were held back, by the boot that is up now.
     pub fn carry_out_held(&self) {
         for (path, order, body) in std::mem::take(&mut *self.held.lock().unwrap()) {
@@ -332,18 +373,20 @@
                 let span = Duration::from_millis(number_in(&spec, "span="));
                 let fails = run <= number_in(&spec, "fails=");
                 let (ends, how) = (Instant::now() + span, if fails { "failed" } else { "done" });
+                let lasts = spec.contains("lasts");
                 let running = Running {
                     run,
                     ends,
                     span,
                     how,
+                    lasts,
                 };
                 state.running.insert(task.clone(), running);
                 let boot = state.boot;
                 self.runs.lock().unwrap().push(Seen {
                     task: task.clone(),
                     run,
-                    runner: self.id.clone(),
+                    runner: self.name.clone(),
                     started: Instant::now(),
                     ended: None,
                     noted: false,
@@ -351,7 +394,7 @@
                 });
                 self.record.line(&format!(
                     "RUN {task} run {run} begins at {} boot {boot}",
-                    self.id
+                    self.name
                 ));
                 (200, state.clock_json())
             }
@@ -379,7 +422,7 @@
         state.ended.retain(|(number, ..)| *number > seen);
         for run in self.runs.lock().unwrap().iter_mut() {
             let is_seen = run.ended.is_some_and(|(_, _, n)| n > 0 && n <= seen);
-            run.noted |= run.runner == self.id && run.boot == boot && is_seen;
+            run.noted |= run.runner == self.name && run.boot == boot && is_seen;
         }
         let wait = Duration::from_millis(body.u64("wait-ms").min(MAX_WAIT_MS));
         let end = Instant::now() + wait;
@@ -392,12 +435,17 @@
         }
         let running = state.running.iter().map(|(task, r)| {
             let left = r.ends.saturating_duration_since(Instant::now());
+            let is_at_work = r.lasts && r.span.saturating_sub(left) > STARTUP;
             let done = 1.0 - left.as_secs_f64() / r.span.as_secs_f64().max(0.001);
             Json::Arr(vec![
                 Json::str(task.clone()),
                 Json::num(r.run),
                 Json::str(""),
-                Json::num((done * 100.0) as u64),
+                Json::num(if is_at_work {
+                    100
+                } else {
+                    (done * 100.0) as u64
+                }),
                 Json::num(1_000),
             ])
         });
@@ -456,14 +504,15 @@
 
     fn end_seen(&self, task: &str, run: u64, boot: u64, how: &'static str, number: u64) {
         let mut runs = self.runs.lock().unwrap();
-        let is_same =
-            |s: &&mut Seen| s.task == task && s.run == run && s.runner == self.id && s.boot == boot;
+        let is_same = |s: &&mut Seen| {
+            s.task == task && s.run == run && s.runner == self.name && s.boot == boot
+        };
         if let Some(seen) = runs.iter_mut().filter(is_same).next_back() {
             seen.ended = Some((Instant::now(), how, number));
         }
         self.record.line(&format!(
             "RUN {task} run {run} ends at {} boot {boot}: {how}",
-            self.id
+            self.name
         ));
     }
 }
--- a/review/standin-3/stray_case.rs
+++ b/review/standin-3/stray_case.rs
@@ -4,6 +4,7 @@
 use crate::Record;
 use crate::Verdict;
 use crate::fleet::Fleet;
+use crate::fleet::RunnerKind;
 use crate::runner::Fate;
 use crate::runner::Runner;
 use std::sync::Arc;
@@ -100,7 +101,12 @@
             Fate::Answered
         }
     };
-    let fleet = match Fleet::start(record, GATEWAYS, SIDECARS, &[KEY], Arc::new(plan)) {
+    let runners = RunnerKind {
+        plan: Arc::new(plan),
+        keep_id: true,
+        first_label: None,
+    };
+    let fleet = match Fleet::start(record, GATEWAYS, SIDECARS, &[KEY], runners) {
         Ok(fleet) => fleet,
         Err(why) => return Verdict::Unclear(why),
     };
