--- a/review/standin-3/fleet.rs
+++ b/review/standin-3/fleet.rs
@@ -1,6 +1,9 @@
 //! A small deployment: gateways, sidecars with their runners, and the store.
 
 use crate::Record;
+use crate::advice::DECISION_MS;
+use crate::advice::EACH_MS;
+use crate::advice::VALID_MS;
 use crate::http::call;
 use crate::json::Json;
 use crate::runner::Place;
@@ -23,7 +26,9 @@
 pub const SERVICE: &str = "huvo11a";
 const PROGRAM: &str = "target/release/hibiscusbarrow";
 const CALL_TIMEOUT: Duration = Duration::from_secs(3);
-const START_TIMEOUT: Duration = Duration::from_secs(25);
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+/// The time without disruption before a case begins, longer than `contact-ms`.
+const SETTLE_TIME: Duration = Duration::from_millis(4_000);
 
 pub struct Fleet {
     pub store: Arc<Store>,
@@ -41,15 +46,29 @@
     pub plan: Plan,
     /// Whether they start again under the identifier that they had.
     pub keep_id: bool,
+    /// Whether the queue needs tickets, which the runners check.
+    pub with_advice: bool,
     /// A label that only the first of them has.
     pub first_label: Option<&'static str>,
 }
 
 /// Returns a manifest with one queue and one tenant that has these keys.
 pub fn manifest(version: u64, keys: &[&str]) -> String {
+    manifest_with(version, keys, "")
+}
+
+/// Returns a manifest whose queue needs tickets.
+fn manifest_with_advice(keys: &[&str]) -> String {
+    let advice = format!(
+        r#","advice":{{"decision-ms":{DECISION_MS},"each-ms":{EACH_MS},"valid-ms":{VALID_MS}}}"#
+    );
+    manifest_with(1, keys, &advice)
+}
+
+fn manifest_with(version: u64, keys: &[&str], advice: &str) -> String {
     let keys: Vec<String> = keys.iter().map(|k| format!("\"{k}\"")).collect();
     format!(
-        r#"{{"version":{version},"routes":[{{"name":"r-1","host":"{HOST}","prefix":"{PREFIX}","type":"unsafe","timeout-ms":3000,"target-duration-ms":1000,"priority":1,"service":"{SERVICE}","max-attempts":3,"stretch":3.0,"public":false}}],"services":[{{"name":"{SERVICE}","health-path":"/health","max-connections":64,"protocol":"h1","tls":false,"enforces-capacity":true,"headroom":false}}],"limits":{{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}},"tenants":[{{"name":"kaje80","api-keys":[{}],"priority":1,"guaranteed":{{"gpu":8}}}}]}}"#,
+        r#"{{"version":{version},"routes":[{{"name":"r-1","host":"{HOST}","prefix":"{PREFIX}","type":"unsafe","timeout-ms":3000,"target-duration-ms":1000,"priority":1,"service":"{SERVICE}","max-attempts":3,"stretch":3.0,"public":false{advice}}}],"services":[{{"name":"{SERVICE}","health-path":"/health","max-connections":64,"protocol":"h1","tls":false,"enforces-capacity":true,"headroom":false}}],"limits":{{"max-header-bytes":16384,"max-body-bytes":262144,"header-timeout-ms":3000,"idle-timeout-ms":15000}},"tenants":[{{"name":"kaje80","api-keys":[{}],"priority":1,"guaranteed":{{"gpu":8}}}}]}}"#,
         keys.join(",")
     )
 }
@@ -70,7 +89,12 @@
         let machines = gateways + sidecars;
         let store_ip = format!("{net}.250");
         let store = Store::start(&store_ip, machines, record.clone()).map_err(|e| e.to_string())?;
-        store.put_as_operator("op/config", &manifest(1, keys));
+        let first = if runners.with_advice {
+            manifest_with_advice(keys)
+        } else {
+            manifest(1, keys)
+        };
+        store.put_as_operator("op/config", &first);
         let mut fleet = Fleet {
             store,
             runners: Vec::new(),
@@ -93,6 +117,7 @@
             let place = Place {
                 name: format!("i-{index:02}"),
                 keeps_id: runners.keep_id,
+                checks_tickets: runners.with_advice,
                 labels,
                 addr: format!("{ip}:8529"),
                 control: format!("{ip}:8526"),
@@ -115,8 +140,13 @@
             }
             std::thread::sleep(Duration::from_millis(50));
         }
-        // The sidecars hear the first or second heartbeat, and the placer polls them.
-        std::thread::sleep(Duration::from_millis(4_000));
+        while !fleet.runners.iter().all(|r| r.is_leased()) {
+            if Instant::now() > end {
+                return Err("the runners are not in use".to_owned());
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+        std::thread::sleep(SETTLE_TIME);
         Ok(fleet)
     }
 
@@ -128,14 +158,14 @@
         let is_gateway = machine < self.gateways;
         let ip = self.ip(machine);
         let class = if is_gateway { "edge" } else { "side" };
-        let name = format!("{class}-{}-{machine}", zone(machine));
+        let name = self.node_name(machine);
         let listen = if is_gateway {
             format!("front = \"{ip}:8521\"\nready = \"{ip}:8523\"\n")
         } else {
             format!("control = \"{ip}:8526\"\n")
         };
         let app = if is_gateway {
-            String::new()
+            format!("advice = \"{}\"\n", self.advice_addr(0))
         } else {
             format!("app = \"{ip}:8529\"\nservice = \"{SERVICE}\"\n")
         };
@@ -226,7 +256,7 @@
 "#,
             zone = zone(machine)
         );
-        let path = self.dir.join(format!("{name}.toml"));
+        let path = self.settings_path(machine);
         std::fs::write(&path, text)?;
         let log = File::create(self.dir.join(format!("{name}.log")))?;
         let verb = if is_gateway { "serve" } else { "agent" };
@@ -241,6 +271,39 @@
         Ok(())
     }
 
+    /// Returns an address for the service that gives tickets.
+    pub fn advice_addr(&self, number: usize) -> String {
+        format!("{}.251:{}", self.net, 8_600 + number)
+    }
+
+    /// Writes another address of that service into the settings files of the gateways, and signals
+    /// the change.
+    pub fn change_advice(&self, from: &str, to: &str) -> std::io::Result<()> {
+        for machine in 0..self.gateways {
+            let path = self.settings_path(machine);
+            let text = std::fs::read_to_string(&path)?.replace(from, to);
+            std::fs::write(&path, text)?;
+            let pid = self.children[machine].id().to_string();
+            self.record
+                .line(&format!("gateway {machine}: advice = {to:?}, SIGHUP"));
+            Command::new("kill").args(["-HUP", &pid]).status()?;
+        }
+        Ok(())
+    }
+
+    fn settings_path(&self, machine: usize) -> PathBuf {
+        self.dir.join(format!("{}.toml", self.node_name(machine)))
+    }
+
+    fn node_name(&self, machine: usize) -> String {
+        let class = if machine < self.gateways {
+            "edge"
+        } else {
+            "side"
+        };
+        format!("{class}-{}-{machine}", zone(machine))
+    }
+
     fn is_ready(&self, gateway: usize) -> bool {
         let addr = format!("{}:8523", self.ip(gateway));
         let answer = call(&addr, "GET", "/ready", &[("host", &addr)], "", CALL_TIMEOUT);
--- a/review/standin-3/runner.rs
+++ b/review/standin-3/runner.rs
@@ -1,6 +1,7 @@
 //! A stand-in for a runner: holds leases, runs tasks by the time in their spec, and lists them.
 
 use crate::Record;
+use crate::advice::ticket;
 use crate::http::Request;
 use crate::http::Server;
 use crate::http::call;
@@ -72,6 +73,8 @@
     running: BTreeMap<String, Running>,
     ended: Vec<(u64, String, u64, &'static str)>,
     next_end: u64,
+    /// Whether a lease was granted to this boot.
+    is_leased: bool,
     /// The highest run that was stopped or ended, by task.
     over: BTreeMap<String, u64>,
     server: Option<Server>,
@@ -81,6 +84,7 @@
     /// The identifier, or its first part if each boot has one of its own.
     pub name: String,
     keeps_id: bool,
+    checks_tickets: bool,
     labels: Vec<String>,
     addr: String,
     control: String,
@@ -101,6 +105,8 @@
     pub name: String,
     /// Whether the runner starts again under the identifier that it had.
     pub keeps_id: bool,
+    /// Whether a start needs a ticket.
+    pub checks_tickets: bool,
     /// The kind, the rack and others.
     pub labels: Vec<String>,
     pub addr: String,
@@ -137,6 +143,7 @@
         let runner = Arc::new(Runner {
             name: place.name,
             keeps_id: place.keeps_id,
+            checks_tickets: place.checks_tickets,
             labels: place.labels,
             addr: place.addr,
             control: place.control,
@@ -209,6 +216,11 @@
             .line(&format!("{} crashes, boot {boot}", self.name));
     }
 
+    /// Returns whether the system has granted a lease to the present boot.
+    pub fn is_leased(&self) -> bool {
+        self.state.lock().unwrap().is_leased
+    }
+
     fn id_of(&self, boot: u64) -> String {
         if self.keeps_id {
             self.name.clone()
@@ -369,6 +381,11 @@
                 if state.over.get(&task).is_some_and(|over| run <= *over) {
                     return state.refuse("old");
                 }
+                let step = task.rsplit_once('.').map_or("", |(step, _)| step);
+                let expected = ticket(step, &self.id_of(state.boot));
+                if self.checks_tickets && body.text("ticket") != expected {
+                    return state.refuse("ticket");
+                }
                 let spec = body.text("spec");
                 let span = Duration::from_millis(number_in(&spec, "span="));
                 let fails = run <= number_in(&spec, "fails=");
@@ -418,6 +435,7 @@
         }
         state.fence = body.u64("fencing-token");
         state.extend(body.u64("deadline-ms"));
+        state.is_leased |= body.u64("deadline-ms") > 0;
         let seen = body.u64("last-seen");
         state.ended.retain(|(number, ..)| *number > seen);
         for run in self.runs.lock().unwrap().iter_mut() {
--- a/review/standin-3/trial_case.rs
+++ b/review/standin-3/trial_case.rs
@@ -54,6 +54,7 @@
     let runners = RunnerKind {
         plan,
         keep_id: false,
+        with_advice: false,
         first_label: Some(LABEL),
     };
     let fleet = match Fleet::start(record, GATEWAYS, SIDECARS, &[KEY], runners) {
