Refuse the calls for a former incarnation by its fencing token

Cause: what keeps a late call from taking effect was known to the sidecar and to the former incarnation only; the new one has the identifier that the call names and has seen no fencing token. The stops that the sidecar sends it may get no answer either.

Each incarnation now has a fencing token of its own: the epoch of the placer and, below it, a generation that grows with each incarnation. The worker refuses what was meant for a former one by itself, also acknowledgements and leases.

unanswered_start_is_not_carried_out_by_the_next_life_of_the_worker failed before (two starts) and passes.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 
 pub mod announced;
 pub mod ended_runs;
+pub mod fencing;
 pub mod job;
 pub mod last_listing;
 pub mod ledger;
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -8,6 +8,7 @@
 mod departures;
 mod evacuation;
 mod features;
+mod fencing;
 mod figures;
 mod fixtures;
 mod last_listing;
--- a/crates/fleet/tests/suite/model.rs
+++ b/crates/fleet/tests/suite/model.rs
@@ -9,6 +9,7 @@
 use crate::fixtures::job;
 use crate::fixtures::step;
 use hibiscusbarrow_fleet::ended_runs::EndedRuns;
+use hibiscusbarrow_fleet::fencing::FencingTokens;
 use hibiscusbarrow_fleet::job::Job;
 use hibiscusbarrow_fleet::job::Step;
 use hibiscusbarrow_fleet::ledger::Batch;
@@ -76,8 +77,10 @@
     started: Duration,
     /// Thousandths by which the worker's clock runs slow.
     slowdown: u64,
-    /// The highest epoch from which this incarnation accepted a poll or an order.
-    epoch: u64,
+    /// The highest fencing token that this incarnation has seen.
+    token: u64,
+    /// The tokens that the sidecar gives to calls; they outlive the worker.
+    fencing: FencingTokens,
     /// The highest epoch that the sidecar has seen; it outlives the worker.
     sidecar_epoch: u64,
     /// Ended runs that the sidecar remembers; they outlive the worker.
@@ -111,7 +114,7 @@
     Order(usize, SmolStr, Duration, Option<Boot>, u64, Order),
     /// The answer of a sidecar to an order.
     Answer(usize, SmolStr, Boot, Order, Answer),
-    /// A call that a worker with this identifier carries out late, with the epoch of its placer.
+    /// A call that a worker with this identifier carries out late, with its fencing token.
     Late(SmolStr, SmolStr, u64, Order),
     /// What a sidecar lists in response to a poll that was sent at the given time.
     Listed(usize, SmolStr, Duration, Announcement, Listing),
@@ -192,7 +195,7 @@
         let born = self.boot.born + 1;
         self.boot = Boot { id, born };
         self.started = now;
-        self.epoch = 0;
+        self.token = 0;
         self.lease_end = MAX_LEASE_MS;
         self.running.clear();
         self.highest_ended.clear();
@@ -231,7 +234,8 @@
             known_clock: WorkerClock::default(),
             started: Duration::ZERO,
             slowdown: i * 10,
-            epoch: 0,
+            token: 0,
+            fencing: FencingTokens::default(),
             sidecar_epoch: 0,
             ended_runs: EndedRuns::default(),
             lease_end: MAX_LEASE_MS,
@@ -471,6 +475,8 @@
                 continue;
             }
             worker.announced = true;
+            let token = worker.fencing.token(worker.sidecar_epoch, &worker.boot);
+            worker.token = worker.token.max(token);
             worker.stray_calls.may_lose_ends(&worker.boot);
             let starts = worker.stray_calls.starts_for(&worker.boot);
             for (task, run) in starts {
@@ -681,8 +687,8 @@
             Message::Order(placer, sidecar, sent, boot, epoch, order) => {
                 self.handle_order(placer, sidecar, sent, boot, epoch, order);
             }
-            Message::Late(sidecar, id, epoch, order) => {
-                self.handle_late(&sidecar, &id, epoch, &order);
+            Message::Late(sidecar, id, token, order) => {
+                self.handle_late(&sidecar, &id, token, &order);
             }
             Message::Answer(placer, sidecar, boot, order, answer) => {
                 let unconfirmed = answer == Answer::Silent;
@@ -775,7 +781,7 @@
         }
         let worker = self.workers.get_mut(&sidecar).expect("the worker exists");
         let fits = boot == worker.boot;
-        if epoch < worker.epoch.max(worker.sidecar_epoch) {
+        if epoch < worker.sidecar_epoch {
             self.send(Message::Answer(
                 placer,
                 sidecar,
@@ -796,9 +802,10 @@
             }
             return;
         }
+        let token = worker.fencing.token(epoch, &worker.boot);
         let is_late = fits && self.faults && self.rng.below(40) == 0;
         if is_late && self.may_be_late(&sidecar, &order) {
-            self.carry_out_late(placer, sidecar, epoch, order);
+            self.carry_out_late(placer, sidecar, token, order);
             return;
         }
         let worker = self.workers.get_mut(&sidecar).expect("the worker exists");
@@ -808,7 +815,7 @@
             ..
         } = &order
         {
-            worker.epoch = epoch;
+            worker.token = worker.token.max(token);
             worker.stray_calls.handle_answer(now);
             let (acknowledged, deadline) = match fits {
                 true => (*acknowledged, *deadline),
@@ -832,7 +839,7 @@
             ));
             return;
         }
-        worker.epoch = epoch;
+        worker.token = worker.token.max(token);
         worker.stray_calls.handle_answer(now);
         if let Order::Start(start) = &order
             && worker.ended_runs.contains(&start.task, start.run)
@@ -868,13 +875,13 @@
     }
 
     /// Leaves a call unanswered, to be carried out seconds later.
-    fn carry_out_late(&mut self, placer: usize, sidecar: SmolStr, epoch: u64, order: Order) {
+    fn carry_out_late(&mut self, placer: usize, sidecar: SmolStr, token: u64, order: Order) {
         let now = self.now;
         let delay = Duration::from_millis(2_000 + self.rng.below(10_000));
         let worker = self.workers.get_mut(&sidecar).expect("the worker exists");
         let boot = worker.boot.clone();
         worker.stray_calls.record(&boot, &order, now);
-        let late = Message::Late(sidecar.clone(), boot.id.clone(), epoch, order.clone());
+        let late = Message::Late(sidecar.clone(), boot.id.clone(), token, order.clone());
         self.in_transit.push((now + delay, late));
         if matches!(order, Order::Poll { .. }) {
             self.placers[placer].0.handle_unresponsive(&sidecar, now);
@@ -891,14 +898,15 @@
 
     /// Carries out a call that the worker with this identifier received before, in whichever
     /// incarnation it is.
-    fn handle_late(&mut self, sidecar: &SmolStr, id: &SmolStr, epoch: u64, order: &Order) {
+    fn handle_late(&mut self, sidecar: &SmolStr, id: &SmolStr, token: u64, order: &Order) {
         let now = self.now;
         let worker = self.workers.get_mut(sidecar).expect("the worker exists");
         // No one can block a start before the sidecar knows the incarnation.
-        if worker.boot.id != *id || epoch < worker.epoch || !worker.announced {
+        let is_unknown = !worker.announced && !matches!(order, Order::Poll { .. });
+        if worker.boot.id != *id || token < worker.token || is_unknown {
             return;
         }
-        worker.epoch = epoch;
+        worker.token = token;
         let Order::Poll {
             acknowledged,
             deadline,
--- a/crates/roles/src/fleet/port.rs
+++ b/crates/roles/src/fleet/port.rs
@@ -12,7 +12,7 @@
 use hibiscusbarrow_fleet::record::State;
 use hibiscusbarrow_fleet::worker::Announcement;
 use hibiscusbarrow_fleet::worker::Answer;
-use hibiscusbarrow_fleet::worker::Envelope;
+use hibiscusbarrow_fleet::worker::Order;
 use serde::Deserialize;
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -193,8 +193,9 @@
 pub struct Worker {
     /// Decodes a message of the worker.
     pub decode_message: Decode<Request, WorkerMessage>,
-    /// Sends an order to the incarnation of the worker that sent the given heartbeat.
-    pub send_order: Rc<dyn Fn(Envelope, Announcement) -> LocalBoxFuture<Answer>>,
+    /// Sends an order with a fencing token to the incarnation of the worker that sent the given
+    /// heartbeat. The worker refuses a token below the highest one that it has seen.
+    pub send_order: Rc<dyn Fn(u64, Order, Announcement) -> LocalBoxFuture<Answer>>,
     /// Returns whether no process listens at the worker's address.
     pub is_absent: Rc<dyn Fn() -> LocalBoxFuture<bool>>,
 }
--- a/crates/roles/src/fleet/sidecar/drain.rs
+++ b/crates/roles/src/fleet/sidecar/drain.rs
@@ -33,10 +33,16 @@
             Order::Poll { wait, .. } if announced.draining && *wait > 0 => {
                 self.shared.clock.now() + Duration::from_millis(std::mem::take(wait))
             }
-            _ => return (self.worker.send_order)(envelope, announced).await,
+            _ => {
+                return self
+                    .send_fenced(envelope.epoch, &envelope.order, &announced)
+                    .await;
+            }
         };
         loop {
-            let answer = (self.worker.send_order)(envelope.clone(), announced.clone()).await;
+            let answer = self
+                .send_fenced(envelope.epoch, &envelope.order, &announced)
+                .await;
             let Answer::Listed(_, listing) = &answer else {
                 return answer;
             };
@@ -66,21 +72,17 @@
     /// Polls a draining worker while the placer does not, and keeps its listings, until it runs
     /// nothing or does not answer.
     async fn watch_drain(self: Rc<Self>, announced: Announcement) {
-        let poll = Envelope {
-            epoch: self.epoch.get(),
-            boot: Some(announced.boot.clone()),
-            order: Order::Poll {
-                acknowledged: 0,
-                deadline: None,
-                wait: 0,
-            },
+        let poll = Order::Poll {
+            acknowledged: 0,
+            deadline: None,
+            wait: 0,
         };
         loop {
             if Rc::strong_count(&self.open_polls) > 1 {
                 sleep(DRAIN_POLL_INTERVAL).await;
                 continue;
             }
-            let answer = (self.worker.send_order)(poll.clone(), announced.clone()).await;
+            let answer = self.send_fenced(self.epoch.get(), &poll, &announced).await;
             let Answer::Listed(_, listing) = answer else {
                 break;
             };
--- a/crates/roles/src/fleet/sidecar/incarnations.rs
+++ b/crates/roles/src/fleet/sidecar/incarnations.rs
@@ -6,7 +6,6 @@
 use hibiscusbarrow_fleet::worker::Announcement;
 use hibiscusbarrow_fleet::worker::Answer;
 use hibiscusbarrow_fleet::worker::Boot;
-use hibiscusbarrow_fleet::worker::Envelope;
 use hibiscusbarrow_fleet::worker::Order;
 use hibiscusbarrow_fleet::worker::Refusal;
 use hibiscusbarrow_model::event::Event;
@@ -50,24 +49,47 @@
         self.confirming.set(false);
     }
 
-    /// Returns whether the worker answers as the incarnation of a heartbeat.
+    /// Sends an order to an incarnation of the worker with its fencing token, and with higher ones
+    /// if the worker refuses that although no newer placer is known.
+    pub(super) async fn send_fenced(
+        &self,
+        epoch: u64,
+        order: &Order,
+        announced: &Announcement,
+    ) -> Answer {
+        let boot = &announced.boot;
+        let mut step = 1;
+        loop {
+            let token = self.fencing.borrow_mut().token(epoch, boot);
+            let answer = (self.worker.send_order)(token, order.clone(), announced.clone()).await;
+            if answer != Answer::Refused(Refusal::Epoch) || epoch < self.epoch.get() {
+                return answer;
+            }
+            let mut fencing = self.fencing.borrow_mut();
+            // Another order may have raised the token in the meantime.
+            if fencing.token(epoch, boot) == token && !fencing.raise(boot, step) {
+                return answer;
+            }
+            step *= 2;
+        }
+    }
+
+    /// Returns whether the worker answers as the incarnation of a heartbeat. From then on, it refuses
+    /// the calls that were meant for a former incarnation.
     ///
     /// # Errors
     ///
     /// Returns the last answer if it does not.
     async fn ask_incarnation(&self, heartbeat: &Announcement) -> Result<(), String> {
-        let poll = Envelope {
-            epoch: self.epoch.get(),
-            boot: Some(heartbeat.boot.clone()),
-            order: Order::Poll {
-                acknowledged: 0,
-                deadline: None,
-                wait: 0,
-            },
+        let poll = Order::Poll {
+            acknowledged: 0,
+            deadline: None,
+            wait: 0,
         };
         let mut attempt = 1;
         loop {
-            match (self.worker.send_order)(poll.clone(), heartbeat.clone()).await {
+            let epoch = self.epoch.get();
+            match self.send_fenced(epoch, &poll, heartbeat).await {
                 Answer::Listed(_, listing) if listing.born == heartbeat.boot.born => return Ok(()),
                 Answer::Listed(_, listing) => return Err(format!("born={}", listing.born)),
                 // Only the incarnation that the poll names compares the epoch.
@@ -86,19 +108,15 @@
     async fn block_stray_starts(&self, heartbeat: &Announcement) {
         let starts = self.stray_calls.borrow().starts_for(&heartbeat.boot);
         for (task, run) in starts {
-            let stop = Envelope {
-                epoch: self.epoch.get(),
-                boot: Some(heartbeat.boot.clone()),
-                order: Order::Stop { task, run },
-            };
+            let stop = Order::Stop { task, run };
             let mut answer = Answer::Silent;
             for _ in 0..CONFIRMATION_ATTEMPTS {
-                answer = (self.worker.send_order)(stop.clone(), heartbeat.clone()).await;
+                answer = self.send_fenced(self.epoch.get(), &stop, heartbeat).await;
                 if answer == Answer::Accepted {
                     break;
                 }
             }
-            let detail = format!("born={} {:?}: {answer:?}", heartbeat.boot.born, stop.order);
+            let detail = format!("born={} {stop:?}: {answer:?}", heartbeat.boot.born);
             let log = &self.shared.log;
             log.emit(Event::StrayBlocked, heartbeat.boot.id.clone(), detail);
         }
--- a/crates/roles/src/fleet/sidecar/mod.rs
+++ b/crates/roles/src/fleet/sidecar/mod.rs
@@ -31,6 +31,7 @@
 use hibiscusbarrow_fleet::announced::AnnouncedWorker;
 use hibiscusbarrow_fleet::announced::Verdict;
 use hibiscusbarrow_fleet::ended_runs::EndedRuns;
+use hibiscusbarrow_fleet::fencing::FencingTokens;
 use hibiscusbarrow_fleet::last_listing::LastListing;
 use hibiscusbarrow_fleet::start_limit::WorkerClock;
 use hibiscusbarrow_fleet::stray_calls::StrayCalls;
@@ -67,6 +68,8 @@
     ended_runs: RefCell<EndedRuns>,
     /// The calls to the worker that got no answer.
     stray_calls: RefCell<StrayCalls>,
+    /// The fencing tokens of the orders to the worker.
+    fencing: RefCell<FencingTokens>,
     /// The start time of the last incarnation that was put on hold.
     held: Cell<Option<u64>>,
     /// What the worker listed last if it drains.
@@ -121,6 +124,7 @@
         confirming: Cell::new(false),
         ended_runs: RefCell::new(EndedRuns::default()),
         stray_calls: RefCell::default(),
+        fencing: RefCell::default(),
         held: Cell::new(None),
         last_listing: RefCell::default(),
         clock: Cell::default(),
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -651,3 +651,59 @@
     });
     fleet.assert_started_once();
 }
+
+/// Guards against a start that a worker leaves unanswered and carries out after a crash: the next
+/// incarnation has the same identifier, and the task was done elsewhere by then.
+#[test]
+fn unanswered_start_is_not_carried_out_by_the_next_life_of_the_worker() {
+    let fleet = Fleet::start(1, 2);
+    let delay = Duration::from_secs(4);
+    for worker in &fleet.workers {
+        worker.delay_calls("/run-start", 8, delay);
+    }
+    let body = standin::job(&[(1, 8)], 300);
+    assert_eq!(fleet.call(0, "POST", JOB_PATH, &body).0, 200);
+    fleet.wait_for("starts without an answer", |f| {
+        f.workers.iter().any(|w| w.delayed_calls("/run-start") > 0)
+    });
+    for worker in &fleet.workers {
+        worker.delay_calls("/run-start", 0, delay);
+    }
+    let silent = fleet
+        .workers
+        .iter()
+        .find(|w| w.delayed_calls("/run-start") > 0);
+    let silent = silent.expect("a worker left a start unanswered");
+    fleet.wait_for("the job to complete", |f| {
+        f.get_body(0, JOB_PATH).contains("completed")
+    });
+
+    silent.crash();
+    silent.delay_calls("/run-stop", 8, delay);
+    silent.restart(&silent.id(), 1_700_000_000_001);
+    fleet.wait_for("the late calls", |_| !silent.has_open_calls());
+
+    fleet.assert_started_once();
+}
+
+/// Guards against a sidecar that takes its placer for a former one: it has started again and does
+/// not know that its worker has seen a higher fencing token.
+#[test]
+fn restarted_sidecar_is_obeyed_by_a_worker_that_came_back_before() {
+    let mut fleet = Fleet::start(1, 1);
+    for life in 1..=3 {
+        let worker = &fleet.workers[0];
+        worker.crash();
+        std::thread::sleep(Duration::from_millis(100));
+        worker.restart(&worker.id(), 1_700_000_000_000 + life);
+        complete_job(&fleet, &format!("/pairs/00000000000000b{life}"), 1);
+    }
+    let epoch = fleet.metric(0, "placer_epoch");
+
+    fleet.kill(1);
+    fleet.spawn(1);
+
+    complete_job(&fleet, JOB_PATH, 1);
+    assert_eq!(fleet.metric(0, "placer_epoch"), epoch);
+    fleet.assert_started_once();
+}
