End the hold of a worker that lists an end

The worker had left the acknowledgement of an end unanswered, crashed and come back under its identifier.

Cause: the sidecar puts such an incarnation on hold, as it may forget its first ends, and the hold lasted as long as the incarnation. Nothing started there, so that no end could show that it forgets none.

Since the incarnation refuses late acknowledgements by their fencing tokens, what it may forget is fixed by the time the sidecar knows it. Workers on hold are used now, behind all others; their sidecar stops each run there at once until the worker lists an end. An end that is forgotten then is that of a stopped run, whose task may start again, so that no task runs twice and no end is missed.

The model draws late acknowledgements at all workers, and no longer restarts the workers on hold at its end.

--- a/crates/fleet/src/ledger/fit.rs
+++ b/crates/fleet/src/ledger/fit.rs
@@ -26,7 +26,7 @@
 pub(super) const CONTACT_TIMEOUT: Duration = Duration::from_millis(2_600);
 
 /// The share of the workers of a service that may be left out at the same time as they may forget
-/// ends, in percent; of two or three, one.
+/// ends and their sidecars do not stop their runs, in percent; of two or three, one.
 const MAX_HELD_PERCENT: usize = 25;
 /// The same for workers in quarantine.
 const MAX_QUARANTINED_PERCENT: usize = 50;
@@ -40,7 +40,7 @@
     /// Shared, as plans copy their slots often.
     labels: Rc<[SmolStr]>,
     pub(super) service: SmolStr,
-    /// Whether the worker may forget ends, and is used all the same as too many others are left out.
+    /// Whether the worker may forget ends: the next run there is stopped at once.
     on_hold: bool,
     /// Whether a run on the worker failed or stalled since the last success.
     suspect: bool,
@@ -234,7 +234,10 @@
         let max_held = |size: usize| (size * MAX_HELD_PERCENT / 100).max(usize::from(size > 1));
         // Evacuated workers count here: a worker that may forget ends, and so have tasks run again
         // after their end, is not used only because others are evacuated for a time.
-        let is_held = |w: &super::Worker| w.announced.as_ref().is_some_and(|a| a.on_hold);
+        let is_held = |w: &super::Worker| {
+            let announced = w.announced.as_ref();
+            announced.is_some_and(|a| a.on_hold && !a.probing)
+        };
         let held = self.worst_workers(|_| true, max_held, |w| is_held(w).then_some(0));
         let max_quarantined = |size: usize| (size * MAX_QUARANTINED_PERCENT / 100).max(1);
         let remains = |w: &super::Worker| !self.is_evacuated(w);
--- a/crates/fleet/src/stray_calls.rs
+++ b/crates/fleet/src/stray_calls.rs
@@ -4,6 +4,10 @@
 //! the same one. A call that is carried out late can therefore take effect there: a start runs a
 //! task that has long been started elsewhere, and an acknowledgement makes the worker forget ends
 //! that have the same numbers and that nobody has seen.
+//!
+//! From the first call of its sidecar on, an incarnation refuses such calls by their fencing
+//! tokens. What it carried out before shows in its ends: it forgets those up to the highest number
+//! that it was told, so that none is forgotten any more once it has listed one.
 
 use crate::worker::Boot;
 use crate::worker::Order;
@@ -34,8 +38,10 @@
 #[derive(Clone, Debug, Default)]
 pub struct StrayCalls {
     strays: Vec<Stray>,
-    /// The incarnation that may have forgotten, or may yet forget, ends that nobody has seen.
+    /// The incarnation that may forget ends that nobody has seen.
     forgetful: Option<Boot>,
+    /// The last incarnation that has listed an end.
+    proved: Option<Boot>,
 }
 
 impl StrayCalls {
@@ -62,10 +68,12 @@
         self.strays.retain(|s| now < s.sent + MAX_DELAY);
     }
 
-    /// Returns whether an incarnation may forget ends that nobody has seen, so that nothing should
-    /// start there. That does not change any more, as a worker forgets the ends up to the highest
-    /// number that it was ever told.
+    /// Returns whether an incarnation may forget ends that nobody has seen, so that no run should
+    /// end there by itself.
     pub fn may_lose_ends(&mut self, boot: &Boot) -> bool {
+        if self.proved.as_ref() == Some(boot) {
+            return false;
+        }
         let is_known = self.forgetful.as_ref() == Some(boot);
         let acknowledges = |s: &Stray| s.effect == Effect::Acknowledges;
         if !is_known && self.of_former(boot).any(acknowledges) {
@@ -75,6 +83,14 @@
         is_known
     }
 
+    /// Records that an incarnation has listed an end; returns whether it was one that may forget ends.
+    pub fn handle_end(&mut self, boot: &Boot) -> bool {
+        let was_forgetful = self.may_lose_ends(boot);
+        self.proved = Some(boot.clone());
+        self.forgetful = None;
+        was_forgetful
+    }
+
     /// Returns the starts, by task and run, that an incarnation may carry out although they were
     /// meant for a former one.
     pub fn starts_for(&self, boot: &Boot) -> Vec<(TaskId, u64)> {
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -88,10 +88,14 @@
     pub cold_left: u64,
     /// The least time until a draining worker leaves, in milliseconds.
     pub remaining: Option<u64>,
-    /// Whether nothing should start on this incarnation, as it may forget ends that nobody has
-    /// seen. Set by the sidecar.
+    /// Whether no run should end on this incarnation, as it may forget ends that nobody has seen.
+    /// Set by the sidecar.
     #[serde(default, skip_serializing_if = "is_false")]
     pub on_hold: bool,
+    /// Whether the sidecar stops each run that starts while the worker is on hold, so that it may be
+    /// used: the end of such a run shows that the worker forgets none. Set by the sidecar.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub probing: bool,
 }
 
 impl Announcement {
--- a/crates/fleet/tests/suite/fixtures.rs
+++ b/crates/fleet/tests/suite/fixtures.rs
@@ -56,6 +56,8 @@
     pub cold_left: u64,
     /// Whether the worker may forget ends.
     pub on_hold: bool,
+    /// Whether the sidecar stops each run that starts meanwhile.
+    pub probing: bool,
     /// The number of the newest heartbeat.
     pub sequence: u64,
     /// The progress of each run in percent, by task and number of the start.
@@ -201,6 +203,7 @@
         draining: false,
         cold_left: 0,
         on_hold: false,
+        probing: false,
         sequence: 1,
         running: BTreeMap::new(),
         ended: Vec::new(),
@@ -718,6 +721,7 @@
             cold_left: self.cold_left,
             remaining: None,
             on_hold: self.on_hold,
+            probing: self.probing,
         }
     }
 
--- a/crates/fleet/tests/suite/model.rs
+++ b/crates/fleet/tests/suite/model.rs
@@ -147,11 +147,6 @@
     rng: Rng,
     /// Whether jobs are submitted and faults injected.
     faults: bool,
-    /// Whether acknowledgements are carried out late at all workers, or at one only: if more than
-    /// one of three may forget ends, the placer uses them all the same.
-    late_everywhere: bool,
-    /// The worker at which an acknowledgement was carried out late.
-    late_worker: Option<SmolStr>,
     /// The ledger of each placer so far, and whether the placer is active.
     placers: Vec<(Ledger, bool)>,
     /// Whether each placer waits for the result of a store write.
@@ -255,8 +250,6 @@
         now: Duration::ZERO,
         rng: Rng(seed | 1),
         faults: true,
-        late_everywhere: false,
-        late_worker: None,
         placers: Vec::new(),
         writing: Vec::new(),
         epoch: 0,
@@ -804,7 +797,7 @@
         }
         let token = worker.fencing.token(epoch, &worker.boot);
         let is_late = fits && self.faults && self.rng.below(40) == 0;
-        if is_late && self.may_be_late(&sidecar, &order) {
+        if is_late {
             self.carry_out_late(placer, sidecar, token, order);
             return;
         }
@@ -859,21 +852,12 @@
             self.check_domain(&sidecar, &start.task);
         }
         let answer = self.execute_order(&sidecar, &order);
+        self.probe_if_on_hold(&sidecar, &order);
         let answer_lost = self.faults && self.rng.below(20) == 0;
         let answer = if answer_lost { Answer::Silent } else { answer };
         self.send(Message::Answer(placer, sidecar, boot, order, answer));
     }
 
-    /// Returns whether a call may be carried out late, and notes the worker if it acknowledges ends.
-    fn may_be_late(&mut self, sidecar: &SmolStr, order: &Order) -> bool {
-        if !matches!(order, Order::Poll { acknowledged, .. } if *acknowledged > 0) {
-            return true;
-        }
-        let is_first = self.late_worker.is_none();
-        let worker = self.late_worker.get_or_insert_with(|| sidecar.clone());
-        is_first || worker == sidecar || self.late_everywhere
-    }
-
     /// Leaves a call unanswered, to be carried out seconds later.
     fn carry_out_late(&mut self, placer: usize, sidecar: SmolStr, token: u64, order: Order) {
         let now = self.now;
@@ -965,6 +949,17 @@
         }
     }
 
+    /// Stops a run that has started on a worker on hold.
+    fn probe_if_on_hold(&mut self, sidecar: &SmolStr, order: &Order) {
+        let worker = self.workers.get_mut(sidecar).expect("the worker exists");
+        if let Order::Start(start) = order
+            && worker.stray_calls.may_lose_ends(&worker.boot)
+        {
+            let (task, run) = (start.task.clone(), start.run);
+            self.execute_order(sidecar, &Order::Stop { task, run });
+        }
+    }
+
     /// Asserts that a start is allowed: no other run of the task, not done already, all
     /// earlier steps done, and attempts left.
     fn check_start(&mut self, sidecar: &SmolStr, task: &TaskId) {
@@ -1030,6 +1025,9 @@
         for end in &worker.ended {
             worker.ended_runs.insert(&end.task, end.run);
         }
+        if !worker.ended.is_empty() {
+            worker.stray_calls.handle_end(&worker.boot);
+        }
         let on_hold = worker.stray_calls.may_lose_ends(&worker.boot);
         let worker = &self.workers[&sidecar];
         let announced = Announcement {
@@ -1048,6 +1046,7 @@
             cold_left: 0,
             remaining: None,
             on_hold,
+            probing: true,
         };
         let list_run = |(task, (run, progress)): (&TaskId, &(u64, u64))| Running {
             task: task.clone(),
@@ -1085,12 +1084,8 @@
     }
     simulation.faults = false;
     simulation.evacuated.clear();
-    let now = simulation.now;
     for worker in simulation.workers.values_mut() {
         worker.cut_until = Duration::ZERO;
-        if worker.stray_calls.may_lose_ends(&worker.boot) {
-            worker.restart(false, now);
-        }
     }
     while simulation.now < FAULT_PHASE + RECOVERY_PHASE {
         simulation.tick(&mut submitted);
@@ -1098,15 +1093,10 @@
     simulation
 }
 
-/// Guards against ends that are lost at most workers at the same time; the placer still uses them.
+/// Guards against ends that are lost at most workers at the same time.
 #[test]
 fn no_task_runs_twice_although_acknowledgements_are_late_at_all_workers() {
-    let simulation = Simulation {
-        late_everywhere: true,
-        ..new_simulation(8_998_824_300_891_700_166)
-    };
-
-    let simulation = play(simulation);
+    let simulation = simulate(8_998_824_300_891_700_166);
 
     assert!(simulation.workers.values().all(|w| w.running.is_empty()));
 }
--- a/crates/fleet/tests/suite/rules.rs
+++ b/crates/fleet/tests/suite/rules.rs
@@ -208,3 +208,23 @@
     assert_ne!(sidecars("more").collect::<Vec<_>>(), ["n2"]);
     assert_eq!(cluster.placements("more").len(), 1);
 }
+
+/// Guards against a worker on hold that is left out although its sidecar stops the next run there: no
+/// run ended there, so that the hold had no end.
+#[test]
+fn worker_on_hold_is_used_if_its_sidecar_stops_its_runs() {
+    let mut cluster = cluster();
+    for n in 0..8 {
+        let mut fake = worker(&format!("w{n}"), "r1");
+        (fake.on_hold, fake.probing) = (n == 0, true);
+        cluster.add_worker(&format!("n{n}"), fake);
+    }
+    cluster.submit(job("fits", vec![step(7, 8)]));
+    cluster.advance(Duration::from_millis(300));
+    assert!(cluster.placements("fits").iter().all(|(_, s)| s != "n0"));
+
+    cluster.submit(job("more", vec![step(1, 8)]));
+    cluster.advance(Duration::from_millis(300));
+
+    assert_eq!(cluster.placements("more"), [(0, "n0".into())]);
+}
--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -90,7 +90,7 @@
     OrderRefused = 1706, "A sidecar or its worker refused an order, or did not answer it.";
     WorkerCrashed = 1707, "A worker has restarted without having left, while runs were on it.";
     StrayBlocked = 1708, "A start for a former life of a worker, which got no answer, was blocked in the present one.";
-    WorkerHeld = 1709, "A worker may forget ends that nobody has seen; it is left out until it starts again, if enough others remain.";
+    WorkerHeld = 1709, "A worker may forget ends that nobody has seen; each run there is stopped until the worker has listed an end.";
     EndsKept = 1710, "A sidecar answers a poll with the last ends of a worker that drained and no longer answers.";
     EvacuationBegan = 1711, "The evacuation of a failure domain began: nothing more starts there.";
     EvacuationEnded = 1712, "The evacuation of a failure domain was cancelled.";
@@ -103,6 +103,8 @@
     RunTimesRead = 1719, "The placer read the run times that the last one had learned.";
     RunTimesIgnored = 1720, "The stored run times cannot be used; declared times are used until runs have ended.";
     RunTimesStored = 1721, "The placer stored the learned run times; the line names the most frequent kinds of tasks.";
+    ProbeStopped = 1722, "A run on a worker on hold was stopped, so that its end shows whether the worker forgets ends.";
+    WorkerReleased = 1723, "A worker on hold has listed an end; it forgets none and is used like the others.";
     StoreDown = 1801, "The key-value service stopped answering.";
     StoreBack = 1802, "The key-value service answers again.";
     MirrorReset = 1803, "The store no longer has the history needed; its content is read again.";
--- a/crates/roles/src/fleet/sidecar/incarnations.rs
+++ b/crates/roles/src/fleet/sidecar/incarnations.rs
@@ -6,6 +6,7 @@
 use hibiscusbarrow_fleet::worker::Announcement;
 use hibiscusbarrow_fleet::worker::Answer;
 use hibiscusbarrow_fleet::worker::Boot;
+use hibiscusbarrow_fleet::worker::Listing;
 use hibiscusbarrow_fleet::worker::Order;
 use hibiscusbarrow_fleet::worker::Refusal;
 use hibiscusbarrow_model::event::Event;
@@ -140,7 +141,56 @@
         }
     }
 
-    /// Returns whether nothing should start on an incarnation, and logs it for the first time.
+    /// Stops a run that has started, or may start late, on an incarnation on hold. Its end shows whether
+    /// the incarnation forgets ends, and is not missed if it does.
+    pub(super) fn probe_if_on_hold(
+        self: &Rc<Self>,
+        announced: &Announcement,
+        order: &Order,
+        answer: &Answer,
+    ) {
+        let Order::Start(start) = order else {
+            return;
+        };
+        let may_run = matches!(answer, Answer::Accepted | Answer::Silent);
+        if !may_run || !self.is_on_hold(&announced.boot) {
+            return;
+        }
+        let (task, run) = (start.task.clone(), start.run);
+        self.ended_runs.borrow_mut().insert(&task, run);
+        let stop = Order::Stop { task, run };
+        compio::runtime::spawn(self.clone().stop_probe(announced.clone(), stop)).detach();
+    }
+
+    /// Sends a stop until the incarnation has carried it out or is no longer there.
+    async fn stop_probe(self: Rc<Self>, announced: Announcement, stop: Order) {
+        let boot = &announced.boot;
+        let is_current = || self.announced.borrow().current().map(|a| &a.boot) == Some(boot);
+        let mut answer = Answer::Silent;
+        while is_current() && answer != Answer::Accepted {
+            answer = self.send_fenced(self.epoch.get(), &stop, &announced).await;
+            if answer != Answer::Accepted {
+                sleep(CONFIRMATION_DELAY).await;
+            }
+        }
+        let detail = format!("born={} {stop:?}: {answer:?}", boot.born);
+        let log = &self.shared.log;
+        log.emit(Event::ProbeStopped, boot.id.clone(), detail);
+    }
+
+    /// Ends the hold of an incarnation that lists an end.
+    pub(super) fn release_if_ended(&self, boot: &Boot, listing: &Listing) {
+        let Some(end) = listing.ended.first() else {
+            return;
+        };
+        if self.stray_calls.borrow_mut().handle_end(boot) {
+            let detail = format!("born={} end={}", boot.born, end.number);
+            let log = &self.shared.log;
+            log.emit(Event::WorkerReleased, boot.id.clone(), detail);
+        }
+    }
+
+    /// Returns whether no run should end on an incarnation, and logs it for the first time.
     pub(super) fn is_on_hold(&self, boot: &Boot) -> bool {
         let on_hold = self.stray_calls.borrow_mut().may_lose_ends(boot);
         if on_hold && self.held.replace(Some(boot.born)) != Some(boot.born) {
@@ -157,6 +207,10 @@
         let newest = announced.current().filter(|a| a.boot == heartbeat.boot);
         let newest = newest.cloned().unwrap_or(heartbeat);
         let on_hold = self.is_on_hold(&newest.boot);
-        Announcement { on_hold, ..newest }
+        Announcement {
+            on_hold,
+            probing: true,
+            ..newest
+        }
     }
 }
--- a/crates/roles/src/fleet/sidecar/mod.rs
+++ b/crates/roles/src/fleet/sidecar/mod.rs
@@ -335,6 +335,7 @@
             .await;
         self.track_strays(&announced.boot, &envelope.order, &answer)
             .await;
+        self.probe_if_on_hold(&announced, &envelope.order, &answer);
         if !matches!(answer, Answer::Listed(..)) {
             let left = self.check_departure(&announced.boot).await;
             if let Some(kept) = self.answer_in_place(&envelope, &announced.boot) {
@@ -352,6 +353,7 @@
                 for end in &listing.ended {
                     self.ended_runs.borrow_mut().insert(&end.task, end.run);
                 }
+                self.release_if_ended(&announced.boot, &listing);
                 let newest = self.newest_of(announced);
                 self.keep_listing(&newest, &listing);
                 Answer::Listed(Box::new(newest), listing)
--- a/src/cmd/bench/ledger.rs
+++ b/src/cmd/bench/ledger.rs
@@ -200,6 +200,7 @@
             cold_left: 0,
             remaining: None,
             on_hold: false,
+            probing: false,
         };
         let listing = Listing {
             is_partial: false,
--- a/src/cmd/bench/run_times.rs
+++ b/src/cmd/bench/run_times.rs
@@ -561,5 +561,6 @@
         remaining: None,
         cold_left: 0,
         on_hold: false,
+        probing: false,
     }
 }
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -707,3 +707,80 @@
     assert_eq!(fleet.metric(0, "placer_epoch"), epoch);
     fleet.assert_started_once();
 }
+/// Lets a worker run a task and leave the acknowledgement of its end unanswered, to be carried out
+/// `delay` later, and starts it again under its identifier after a crash. Returns its number.
+fn restart_after_unanswered_acknowledgement(fleet: &Fleet, delay: Duration) -> usize {
+    let first = standin::job(&[(1, 1)], 500);
+    assert_eq!(fleet.call(0, "POST", JOB_PATH, &first).0, 200);
+    fleet.wait_for("the first job to run", |f| {
+        f.workers.iter().any(|w| !w.running().is_empty())
+    });
+    let is_busy = |w: &standin::WorkerStandin| !w.running().is_empty();
+    let number = fleet.workers.iter().position(is_busy);
+    let number = number.expect("a worker runs the first job");
+    let worker = &fleet.workers[number];
+    worker.delay_calls("/hold", 1, delay);
+    fleet.wait_for("the acknowledgement", |_| {
+        worker.delayed_calls("/hold") == 1
+    });
+    worker.crash();
+    std::thread::sleep(Duration::from_millis(300));
+    worker.restart(&worker.id(), 1_700_000_000_001);
+    number
+}
+
+/// Guards against a worker that gets no work until it starts again: it left an acknowledgement
+/// unanswered, crashed, and was left out for good as it might forget ends.
+#[test]
+fn worker_back_after_an_unanswered_acknowledgement_is_used_again() {
+    let fleet = Fleet::start(1, 2);
+    restart_after_unanswered_acknowledgement(&fleet, Duration::from_secs(4));
+
+    let both = standin::job(&[(2, 8)], 4_000);
+    let path = "/pairs/00000000000000a2";
+    assert_eq!(fleet.call(0, "POST", path, &both).0, 200);
+
+    fleet.wait_for("both workers to run a task at the same time", |f| {
+        f.workers.iter().all(|w| !w.running().is_empty())
+    });
+    fleet.wait_for("the job to complete", |f| {
+        f.get_body(0, path).contains("completed")
+    });
+    for worker in &fleet.workers {
+        assert_eq!(worker.duplicate_starts(), Vec::<String>::new());
+    }
+}
+
+/// Guards against the same hold if the acknowledgement was carried out before the sidecar heard of the
+/// new incarnation, which forgets its first end then. No task may run again after its end.
+#[test]
+fn worker_that_has_forgotten_an_end_is_used_again() {
+    let fleet = Fleet::start(1, 2);
+    for worker in &fleet.workers {
+        worker.set_heartbeat_interval(Duration::from_millis(1_500));
+    }
+    let delay = Duration::from_millis(500);
+    let number = restart_after_unanswered_acknowledgement(&fleet, delay);
+    fleet.wait_for("the late acknowledgement", |f| {
+        !f.workers[number].has_open_calls()
+    });
+
+    let both = standin::job(&[(2, 8)], 4_000);
+    let path = "/pairs/00000000000000a2";
+    assert_eq!(fleet.call(0, "POST", path, &both).0, 200);
+
+    fleet.wait_for("both workers to run a task at the same time", |f| {
+        f.workers.iter().all(|w| !w.running().is_empty())
+    });
+    fleet.wait_for("the job to complete", |f| {
+        f.get_body(0, path).contains("completed")
+    });
+    let stopped = fleet.workers[number].history();
+    let stopped = stopped
+        .iter()
+        .filter(|r| r.ended.is_some_and(|e| e.1 == "stopped"));
+    assert!(stopped.count() >= 2, "the first end was not forgotten");
+    for worker in &fleet.workers {
+        assert_eq!(worker.duplicate_starts(), Vec::<String>::new());
+    }
+}
