--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -4,6 +4,7 @@
 pub use crate::fleet_harness::WAIT_TIMEOUT;
 
 use hibiscusbarrow_platform::standin;
+use hibiscusbarrow_platform::standin::CallKind;
 use hibiscusbarrow_platform::standin::ProcessConfig;
 use rand::Rng;
 use rand::SeedableRng;
@@ -659,27 +660,29 @@
     let fleet = Fleet::start(1, 2);
     let delay = Duration::from_secs(4);
     for worker in &fleet.workers {
-        worker.delay_calls("/run-start", 8, delay);
+        worker.delay_calls(CallKind::Start, 8, delay);
     }
     let body = standin::job(&[(1, 8)], 300);
     assert_eq!(fleet.call(0, "POST", JOB_PATH, &body).0, 200);
     fleet.wait_for("starts without an answer", |f| {
-        f.workers.iter().any(|w| w.delayed_calls("/run-start") > 0)
+        f.workers
+            .iter()
+            .any(|w| w.delayed_calls(CallKind::Start) > 0)
     });
     for worker in &fleet.workers {
-        worker.delay_calls("/run-start", 0, delay);
+        worker.delay_calls(CallKind::Start, 0, delay);
     }
     let silent = fleet
         .workers
         .iter()
-        .find(|w| w.delayed_calls("/run-start") > 0);
+        .find(|w| w.delayed_calls(CallKind::Start) > 0);
     let silent = silent.expect("a worker left a start unanswered");
     fleet.wait_for("the job to complete", |f| {
         f.get_body(0, JOB_PATH).contains("completed")
     });
 
     silent.crash();
-    silent.delay_calls("/run-stop", 8, delay);
+    silent.delay_calls(CallKind::Stop, 8, delay);
     silent.restart(&silent.id(), 1_700_000_000_001);
     fleet.wait_for("the late calls", |_| !silent.has_open_calls());
 
@@ -719,9 +722,9 @@
     let number = fleet.workers.iter().position(is_busy);
     let number = number.expect("a worker runs the first job");
     let worker = &fleet.workers[number];
-    worker.delay_calls("/hold", 1, delay);
+    worker.delay_calls(CallKind::Acknowledgement, 1, delay);
     fleet.wait_for("the acknowledgement", |_| {
-        worker.delayed_calls("/hold") == 1
+        worker.delayed_calls(CallKind::Acknowledgement) == 1
     });
     worker.crash();
     std::thread::sleep(Duration::from_millis(300));
