End trials in bounded time, and let sound work start beside them

Three crashes had put the task on trial.

Cause: a trial after three crashes, or under a new placer, ended only with its run, which for a long-running task has no end. Its acquittal after 60 s cleared the crashes before the trial was compared with them. A suspect with three crashes waited without end for a worker without other runs, and kept one reserved for that.

A trial now ends after 60 s at most. Sound work that finds no room elsewhere starts beside it after 2 s in a service that is mostly idle, after 15 s otherwise. Suspects with three crashes wait 15 s for a worker of their own, long-running ones 5 s, and reservations for them pause like others. The budget of starts is kept: tries count as before, and a long-running task is given up after five crashes within 60 s of their starts.

--- a/crates/fleet/src/ledger/crash.rs
+++ b/crates/fleet/src/ledger/crash.rs
@@ -5,6 +5,9 @@
 //! workers have crashed. A suspect is started again on trial: on a worker without other runs, on
 //! which nothing else starts until the suspect has outlived the crashes before. Only a crash of
 //! a worker on which nothing else ran counts as evidence; a task with enough of it is given up.
+//!
+//! No trial keeps other work out for good: it ends after `MAX_TRIAL`, and sound tasks that find no
+//! room elsewhere start beside it sooner.
 
 use super::Decision;
 use super::Entry;
@@ -39,13 +42,20 @@
 const SUSPICION_PERIOD: Duration = Duration::from_secs(1);
 /// The shortest trial; a trial takes twice as long as the task ever ran before a crash.
 const MIN_TRIAL: Duration = Duration::from_millis(500);
-/// How long a suspect with fewer than `MIN_CRASHES` waits for a worker without other runs; then
-/// its trial may be beside runs that are not on trial.
+/// The longest trial, also of a task that goes on for longer.
+const MAX_TRIAL: Duration = ACQUITTAL_PERIOD;
+/// How long a suspect waits for a worker without other runs; then its trial may be beside runs
+/// that are not on trial. Sound tasks that find no other room wait as long for the end of a trial.
 const TRIAL_PATIENCE: Duration = Duration::from_secs(15);
 /// The same for long-running tasks, which are restarted soon after any end.
 const LONG_RUNNING_PATIENCE: Duration = Duration::from_secs(5);
-/// The same while less than half of the service is in use.
+/// The same while less than half of the service is in use, but for suspects with `MIN_CRASHES`.
 const IDLE_PATIENCE: Duration = Duration::from_secs(2);
+/// The least time for which a trial in such a service keeps out the tasks that have waited.
+const IDLE_EXCLUSION: Duration = SUSPICION_PERIOD;
+/// A task under which as many workers have crashed may be given up, and does not start beside a
+/// run on trial.
+const MAX_CRASHES_BESIDE: u32 = 1;
 /// The share of the workers of a service that may be on trial or down at the same time, in
 /// percent; at least one may.
 const MAX_TRIAL_PERCENT: usize = 34;
@@ -83,10 +93,14 @@
 }
 
 /// Returns whether there is enough evidence against a task to give it up.
-fn is_convicted(crashes: &Crashes) -> bool {
+///
+/// The tries of long-running tasks do not count, as these start again however they end; with as many
+/// crashes they are given up without other evidence.
+fn is_convicted(crashes: &Crashes, long_running: bool) -> bool {
     let proved = crashes.prompt >= MIN_CRASHES_ALONE || crashes.alone >= MAX_CRASHES_ALONE;
     let too_many = crashes.count >= MAX_CRASHES && crashes.alone >= MIN_CRASHES_ALONE;
-    crashes.count >= MIN_CRASHES && (proved || too_many)
+    let spent = long_running && crashes.count >= MIN_CRASHES + MAX_TRIES;
+    crashes.count >= MIN_CRASHES && (proved || too_many || spent)
 }
 
 /// Returns whether a worker crashed so soon after a start that the started task is a suspect.
@@ -94,12 +108,11 @@
     age.is_some_and(|age| age <= SUSPICION_PERIOD)
 }
 
-/// Returns how long a run must go on to outlive the crashes under its task; none if only its end
-/// as done ends the trial.
-fn trial_period(crashes: &Crashes) -> Option<Duration> {
-    let age = crashes.age_ms.filter(|_| crashes.count < MIN_CRASHES)?;
-    let twice = Duration::from_millis(age).saturating_mul(2);
-    Some(twice.max(MIN_TRIAL))
+/// Returns how long a run must go on to outlive the crashes under its task.
+fn trial_period(crashes: &Crashes) -> Duration {
+    let age = crashes.age_ms.filter(|_| crashes.count < MIN_CRASHES);
+    let twice = age.map(|age| Duration::from_millis(age).saturating_mul(2));
+    twice.map_or(MAX_TRIAL, |t| t.clamp(MIN_TRIAL, MAX_TRIAL))
 }
 
 impl Entry {
@@ -120,8 +133,8 @@
             .collect();
         suspects.sort_by_key(|i| Reverse(crashes(*i).alone));
         let is_impatient = |index: &u32| {
-            let key = (occurrence, step, *index);
-            crashes(*index).count < MIN_CRASHES && self.has_waited(key, service_is_idle, now)
+            let is_hurried = service_is_idle && crashes(*index).count < MIN_CRASHES;
+            self.has_waited((occurrence, step, *index), is_hurried, now)
         };
         let impatient = suspects.iter().copied().filter(is_impatient).collect();
         if suspects.is_empty() || of_step.gang {
@@ -142,12 +155,47 @@
     /// Returns whether a suspect has waited long enough for a worker without other runs.
     fn has_waited(&self, key: TaskKey, service_is_idle: bool, now: Duration) -> bool {
         let since = self.crash_seen.get(&key).copied().unwrap_or(now);
-        let patience = match self.step(key).long_running {
+        now >= since + self.patience(key, service_is_idle)
+    }
+
+    /// Returns how long a task waits for trials.
+    fn patience(&self, key: TaskKey, service_is_idle: bool) -> Duration {
+        match self.step(key).long_running {
             _ if service_is_idle => IDLE_PATIENCE,
             true => LONG_RUNNING_PATIENCE,
             false => TRIAL_PATIENCE,
+        }
+    }
+
+    /// Lets the sound tasks of a candidate that have waited long enough start beside runs on trial,
+    /// where these have gone on for some time.
+    pub(super) fn allow_beside_trials(
+        &self,
+        candidate: &mut Candidate,
+        service_is_idle: bool,
+        now: Duration,
+    ) {
+        let (occurrence, step) = (candidate.occurrence, candidate.step);
+        let patience = self.patience((occurrence, step, 0), service_is_idle);
+        if candidate.waited < patience {
+            return;
+        }
+        candidate.exclusion = if service_is_idle {
+            IDLE_EXCLUSION
+        } else {
+            patience
+        };
+        let may_start = |index: &u32| {
+            let key = (occurrence, step, *index);
+            let is_sound = self.crashes(key).count <= MAX_CRASHES_BESIDE;
+            let last_crash = self.crash_seen.get(&key);
+            is_sound && last_crash.is_none_or(|at| now >= *at + patience)
         };
-        now >= since + patience
+        let indices = candidate.indices.iter().copied();
+        candidate.beside_trials = indices.filter(may_start).collect();
+        candidate
+            .beside_trials
+            .retain(|i| !candidate.suspects.contains(i));
     }
 
     /// Returns the crashes under a task.
@@ -295,7 +343,7 @@
         if is_suspect(&crashes, entry.step(key)) {
             entry.avoided.insert(sidecar.clone());
         }
-        let gives_up = is_convicted(&crashes) && !entry.record.is_over();
+        let gives_up = is_convicted(&crashes, long_running) && !entry.record.is_over();
         let account = entry.record.job.account.clone();
         entry.record.failed |= gives_up;
         self.mark_changed(id);
@@ -380,8 +428,7 @@
             return;
         };
         let age = at.saturating_sub(run.started_at.unwrap_or(run.phase_since));
-        let outlived = trial_period(&crashes).is_some_and(|period| age >= period);
-        run.on_trial &= !outlived;
+        run.on_trial &= age < trial_period(&crashes);
         if long_running && age >= ACQUITTAL_PERIOD {
             entry.record.progress_mut(key.0, key.1, key.2).crashes = Crashes::default();
             self.mark_changed(id);
--- a/crates/fleet/src/ledger/fit.rs
+++ b/crates/fleet/src/ledger/fit.rs
@@ -72,8 +72,8 @@
     max_starts: usize,
     /// Whether the worker answers and has no runs.
     pub(super) vacant: bool,
-    /// Whether a run on the worker is on trial, so that nothing else may start there.
-    pub(super) on_trial: bool,
+    /// When the newest trial on the worker began; none if no run there is on trial.
+    pub(super) trial_since: Option<Duration>,
 }
 
 /// Tasks of one step that are ready to start.
@@ -97,6 +97,10 @@
     pub(super) suspects: Vec<u32>,
     /// The suspects among them that may start beside other runs, by index.
     pub(super) impatient: Vec<u32>,
+    /// The others among them that may start beside runs on trial, by index.
+    pub(super) beside_trials: Vec<u32>,
+    /// How long a run on trial keeps these out.
+    pub(super) exclusion: Duration,
     /// Whether it may take the workers for trials and the open starts that no other candidate needs.
     pub(super) spare: bool,
     /// How long the step has been ready.
@@ -165,7 +169,7 @@
         self.free = self.total;
         self.excess = Resources::default();
         self.take(&lasting);
-        self.vacant = !self.on_trial && !self.has_lasting;
+        self.vacant = self.trial_since.is_none() && !self.has_lasting;
         self.needed_in = Duration::ZERO;
         self.admit_all_starts();
     }
@@ -183,13 +187,30 @@
 
     /// Returns whether a run is on trial on this worker of a service.
     pub(super) fn is_on_trial(&self, service: &str) -> bool {
-        self.on_trial && self.service == service
+        self.trial_since.is_some() && self.service == service
     }
 
     /// Returns whether a task of a candidate may start beside the runs on the worker.
-    pub(super) fn admits(&self, candidate: &Candidate, index: u32) -> bool {
+    pub(super) fn admits(&self, candidate: &Candidate, index: u32, now: Duration) -> bool {
         let may_share = !candidate.is_suspect(index) || candidate.impatient.contains(&index);
-        self.vacant || (may_share && !self.on_trial)
+        self.vacant || (may_share && self.admits_beside_trial(candidate, index, now))
+    }
+
+    /// Returns whether no trial on the worker keeps a task of a candidate out.
+    pub(super) fn admits_beside_trial(
+        &self,
+        candidate: &Candidate,
+        index: u32,
+        now: Duration,
+    ) -> bool {
+        self.trial_since.is_none_or(|since| {
+            candidate.beside_trials.contains(&index) && now >= since + candidate.exclusion
+        })
+    }
+
+    /// Begins a trial on the worker.
+    pub(super) fn begin_trial(&mut self, now: Duration) {
+        self.trial_since = self.trial_since.max(Some(now));
     }
 }
 
@@ -282,7 +303,7 @@
                 open_starts: 0,
                 max_starts: worker.starts.limit(),
                 vacant: worker.silent_since.is_none(),
-                on_trial: false,
+                trial_since: None,
             });
         }
         for slot in &mut slots {
@@ -291,7 +312,9 @@
             for (id, key, run) in self.iter_runs_on(&sidecar) {
                 slot.runs += 1;
                 slot.vacant = false;
-                slot.on_trial |= run.on_trial;
+                if run.on_trial {
+                    slot.begin_trial(run.planned_at);
+                }
                 slot.open_starts += usize::from(run.is_start_open());
                 let step = self.jobs[id].step(key);
                 let required = required_resources(step);
@@ -379,8 +402,8 @@
         let step = &entry.record.job.steps[candidate.step as usize];
         let required = required_resources(step);
         let mut placed: Vec<(u32, usize)> = Vec::new();
-        // The slot of each placed task, and whether it was vacant and on trial before.
-        let mut former_trials: Vec<(usize, bool, bool)> = Vec::new();
+        // The slot of each placed task, whether it was vacant, and its trial before.
+        let mut former_trials: Vec<(usize, bool, Option<Duration>)> = Vec::new();
         let open_starts = entry.open_starts();
         for index in &candidate.indices {
             let is_suspect = candidate.is_suspect(*index);
@@ -400,7 +423,7 @@
                 (!slot.reserved || candidate.ends_before(slot.needed_in))
                     && slot.free.covers(&required)
                     && (step.gang || slot.admits_start(own_starts(), candidate.spare))
-                    && (slot.admits(candidate, *index) || beside_member())
+                    && (slot.admits(candidate, *index, now) || beside_member())
                     && in_area(slot, area)
                     && is_eligible(entry, candidate, slot, least, now)
                     && below_worker_limit(entry, candidate, step, slot, *slot_index, &placed)
@@ -417,19 +440,21 @@
                 break;
             };
             let slot = &mut slots[slot_index];
-            former_trials.push((slot_index, slot.vacant, slot.on_trial));
+            former_trials.push((slot_index, slot.vacant, slot.trial_since));
             slot.free.subtract(&required);
             slot.open_starts += 1;
             slot.vacant = false;
-            slot.on_trial |= is_suspect;
+            if is_suspect {
+                slot.begin_trial(now);
+            }
             placed.push((*index, slot_index));
         }
         if step.gang && placed.len() < candidate.indices.len() {
-            for (slot_index, vacant, on_trial) in former_trials.into_iter().rev() {
+            for (slot_index, vacant, trial_since) in former_trials.into_iter().rev() {
                 let slot = &mut slots[slot_index];
                 slot.free.add(&required);
                 slot.open_starts -= 1;
-                (slot.vacant, slot.on_trial) = (vacant, on_trial);
+                (slot.vacant, slot.trial_since) = (vacant, trial_since);
             }
             placed.clear();
         }
@@ -467,7 +492,8 @@
         let free = step.rack.is_empty()
             && step.max_per_worker == 0
             && job.policy.is_none()
-            && candidate.suspects.is_empty();
+            && candidate.suspects.is_empty()
+            && candidate.beside_trials.is_empty();
         (alone && free).then(|| Demand {
             service: job.service.clone(),
             label: step.label.clone(),
@@ -543,7 +569,7 @@
 
 /// Ranks a worker for a task; the lowest rank is the best.
 ///
-/// Prefers, in this order, workers that list all ends, on the rack of the task's data, with the
+/// Prefers, in this order, workers that list all ends, without a trial, on the rack of the task's data, with the
 /// fewest runs if the task is a suspect, without failures, that run another member of the gang,
 /// that are warm and fast if the task is urgent, and that have the least free capacity.
 fn rank(
@@ -552,7 +578,7 @@
     slot: &Slot,
     slot_index: usize,
     placed: &[(u32, usize)],
-) -> (bool, bool, usize, bool, bool, bool, i64, u64, u64, usize) {
+) -> impl Ord + use<> {
     let step = &entry.record.job.steps[candidate.step as usize];
     let far = !step.rack.is_empty() && slot.rack != step.rack;
     let unreliable = slot.suspect || entry.avoided.contains(&slot.sidecar);
@@ -568,8 +594,9 @@
     } else {
         slot.runs
     };
+    let unsure = (slot.on_hold, slot.trial_since.is_some());
     (
-        slot.on_hold,
+        unsure,
         far,
         crowd,
         unreliable,
--- a/crates/fleet/src/ledger/plan.rs
+++ b/crates/fleet/src/ledger/plan.rs
@@ -226,6 +226,8 @@
                         indices,
                         suspects: Vec::new(),
                         impatient: Vec::new(),
+                        beside_trials: Vec::new(),
+                        exclusion: Duration::ZERO,
                         spare: false,
                         waited: now.saturating_sub(since),
                         expected: Expected::by_deadline(late, deadline),
@@ -233,12 +235,23 @@
                 }
                 waiting += usize::from(found.len() > found_before);
             }
-            if entry.crash_seen.is_empty() {
+            let service = &entry.record.job.service;
+            let has_trials = slots.iter().any(|s| s.is_on_trial(service));
+            if found.len() == found_in_job || (entry.crash_seen.is_empty() && !has_trials) {
                 continue;
             }
-            let service_is_idle = Self::is_idle(&entry.record.job.service, slots);
+            let service_is_idle = Self::is_idle(service, slots);
             for candidate in found.split_off(found_in_job) {
-                found.extend(entry.split_suspects(candidate, service_is_idle, now));
+                let mut parts = match entry.crash_seen.is_empty() {
+                    true => vec![candidate],
+                    false => entry.split_suspects(candidate, service_is_idle, now),
+                };
+                if has_trials {
+                    for part in &mut parts {
+                        entry.allow_beside_trials(part, service_is_idle, now);
+                    }
+                }
+                found.extend(parts);
             }
         }
         self.expect(&mut found, now, wall);
@@ -272,7 +285,7 @@
             let fits = |rack: &SmolStr| {
                 let mut empty: Vec<Slot> = slots.to_vec();
                 for slot in &mut empty {
-                    slot.on_trial = false;
+                    slot.trial_since = None;
                     slot.empty();
                     slot.reserved = false;
                 }
@@ -446,7 +459,7 @@
         areas: &[Area],
         now: Duration,
     ) -> bool {
-        if !candidate.is_trial() && self.pauses_reservations(&candidate.job, slots, now) {
+        if self.pauses_reservations(&candidate.job, slots, now) {
             return false;
         }
         for area in areas {
@@ -462,7 +475,9 @@
             for (_, slot_index) in placed {
                 slots[slot_index].reserved = true;
                 slots[slot_index].needed_in = needed_in;
-                slots[slot_index].on_trial |= candidate.is_trial();
+                if candidate.is_trial() {
+                    slots[slot_index].begin_trial(now);
+                }
             }
             return true;
         }
--- a/crates/fleet/src/ledger/policy.rs
+++ b/crates/fleet/src/ledger/policy.rs
@@ -308,7 +308,10 @@
             let fits_now = has_room
                 && !slot.reserved
                 && slot.free.covers(&required)
-                && candidate.indices.iter().any(|i| slot.admits(candidate, *i))
+                && candidate
+                    .indices
+                    .iter()
+                    .any(|i| slot.admits(candidate, *i, now))
                 && below_worker_limit(entry, candidate, step, slot, index, &[]);
             let state = entry.approval_state(candidate.occurrence, candidate.step, &slot.boot, now);
             let rank = match state {
--- a/crates/fleet/src/ledger/preempt.rs
+++ b/crates/fleet/src/ledger/preempt.rs
@@ -118,7 +118,7 @@
             let mut best: Option<((u64, u64), usize, BTreeSet<RunKey>)> = None;
             for (slot_index, slot) in plan.slots.iter().enumerate() {
                 let suitable = in_area(slot, area)
-                    && !slot.on_trial
+                    && slot.admits_beside_trial(candidate, *index, now)
                     && (!slot.reserved || plan.used.contains(&slot_index))
                     && slot.total.covers(&required)
                     && is_eligible(entry, candidate, slot, ApprovalState::Expired, now)
--- a/crates/fleet/tests/suite/crashes.rs
+++ b/crates/fleet/tests/suite/crashes.rs
@@ -230,6 +230,127 @@
     }
 }
 
+/// The rack of the first worker of [`labelled_cluster`], which is also a label.
+const LABEL: &str = "r2";
+
+/// Returns a cluster of eight workers, of which only the first has [`LABEL`]. Tasks do not end.
+fn labelled_cluster() -> Cluster {
+    let mut cluster = cluster();
+    for i in 0..8 {
+        let rack = if i == 0 { LABEL } else { "r1" };
+        cluster.add_worker(&format!("n{i}"), worker(&format!("w{i}"), rack));
+    }
+    cluster.downtime = Duration::from_millis(500);
+    cluster
+}
+
+/// Returns a step of one task that only the worker with the label may run.
+fn labelled_step(long_running: bool) -> Step {
+    Step {
+        label: LABEL.into(),
+        long_running,
+        ..step(1, 2)
+    }
+}
+
+/// Crashes the worker with the label three times, each after 3 s of work of the given jobs.
+fn crash_under(cluster: &mut Cluster, jobs: &[&str]) {
+    for _ in 0..3 {
+        let end = cluster.now + Duration::from_secs(30);
+        let runs = |c: &Cluster| jobs.iter().all(|j| c.placements(j).len() == 1);
+        while !runs(cluster) && cluster.now < end {
+            cluster.advance(Duration::from_millis(100));
+        }
+        assert!(runs(cluster), "{jobs:?} do not run");
+        cluster.advance(Duration::from_secs(3));
+        cluster.crash("n0");
+    }
+}
+
+/// Guards against a trial without an end: after three crashes of its worker nothing else started
+/// beside a long-running task, which is never done, even once its crashes were forgotten.
+#[test]
+fn a_long_running_task_on_trial_keeps_other_work_out_for_seconds_only() {
+    let mut cluster = labelled_cluster();
+    for id in ["long1", "long2"] {
+        cluster.submit(job(id, vec![labelled_step(true)]));
+    }
+    crash_under(&mut cluster, &["long1", "long2"]);
+    cluster.advance(Duration::from_secs(8));
+
+    cluster.submit(job("other", vec![labelled_step(false)]));
+    cluster.advance(Duration::from_secs(3));
+
+    assert_eq!(cluster.placements("other").len(), 1);
+    cluster.advance(Duration::from_secs(90));
+    for id in ["long1", "long2"] {
+        assert_eq!(cluster.placements(id).len(), 1, "{id}");
+    }
+}
+
+/// Guards against the same for a task of hours, whose trial was to last as long as its run.
+#[test]
+fn a_long_task_on_trial_keeps_other_work_out_for_seconds_only() {
+    let mut cluster = labelled_cluster();
+    let long = Step {
+        runtime: 3_600_000,
+        ..labelled_step(false)
+    };
+    for id in ["long1", "long2"] {
+        cluster.submit(job(id, vec![long.clone()]));
+    }
+    crash_under(&mut cluster, &["long1", "long2"]);
+    cluster.advance(Duration::from_secs(8));
+
+    cluster.submit(job("other", vec![labelled_step(false)]));
+    cluster.advance(Duration::from_secs(3));
+
+    assert_eq!(cluster.placements("other").len(), 1);
+}
+
+/// Guards against the same after a change of placers: the next one does not know when the runs of the
+/// suspects started.
+#[test]
+fn a_trial_under_a_new_placer_keeps_other_work_out_for_seconds_only() {
+    let mut cluster = labelled_cluster();
+    for id in ["long1", "long2"] {
+        cluster.submit(job(id, vec![labelled_step(true)]));
+    }
+    crash_under(&mut cluster, &["long1", "long2"]);
+    cluster.advance(Duration::from_secs(8));
+
+    cluster.submit(job("other", vec![labelled_step(false)]));
+    cluster.replace_placer();
+    cluster.advance(Duration::from_secs(4));
+
+    assert_eq!(cluster.placements("other").len(), 1);
+}
+
+/// Guards against a worker that stays reserved for a suspect while a long task runs there, although
+/// other work would fit.
+#[test]
+fn a_suspect_that_waits_keeps_other_work_out_for_seconds_only() {
+    let mut cluster = labelled_cluster();
+    let long = Step {
+        runtime: 3_600_000,
+        ..labelled_step(false)
+    };
+    let wide = Step {
+        gpus: 6,
+        ..long.clone()
+    };
+    cluster.submit(job("long", vec![long]));
+    cluster.submit(job("wide", vec![wide]));
+    crash_under(&mut cluster, &["long", "wide"]);
+    cluster.advance(Duration::from_secs(8));
+    assert_eq!(cluster.placements("long").len(), 1);
+
+    cluster.submit(job("other", vec![labelled_step(false)]));
+    cluster.advance(Duration::from_secs(4));
+
+    assert_eq!(cluster.placements("other").len(), 1);
+}
+
 /// A suspect that waits for an idle worker must not wait for long-running tasks to end.
 #[test]
 fn a_suspect_starts_although_no_worker_becomes_idle() {
@@ -446,6 +567,36 @@
     assert_eq!(played.map_err(|e| e.to_string()), Ok(()));
 }
 
+/// Plays a deadly and two sound long-running tasks that only one worker may run, beside short tasks
+/// and new placers.
+fn play_long_running(seed: u64) -> Result<(), TestCaseError> {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let mut cluster = labelled_cluster();
+    cluster.run_time = Some(Duration::from_millis(rng.random_range(200..4_000)));
+    let mut ids = ["deadly", "sound1", "sound2"];
+    ids.rotate_left(rng.random_range(0..3));
+    for id in ids {
+        cluster.submit(job(id, vec![labelled_step(true)]));
+    }
+    let fuse = Duration::from_millis(rng.random_range(10..20_000));
+    cluster.set_deadly("deadly", 0, fuse);
+    for number in 0..40 {
+        cluster.submit(job(&format!("short{number}"), vec![labelled_step(false)]));
+        cluster.advance(Duration::from_millis(rng.random_range(500..8_000)));
+        if rng.random_range(0..12) == 0 {
+            cluster.replace_placer();
+        }
+    }
+    cluster.advance(Duration::from_secs(120));
+    let later = cluster.starts_after_third_crash("deadly", 0);
+    prop_assert!(later.len() < 3, "the deadly task starts again as {later:?}");
+    for id in ["sound1", "sound2"] {
+        prop_assert_eq!(cluster.state(id), State::Running, "{}", id);
+        prop_assert_eq!(cluster.placements(id).len(), 1, "{}", id);
+    }
+    Ok(())
+}
+
 proptest! {
     #![proptest_config(ProptestConfig { cases: crate::model::cases(), ..ProptestConfig::default() })]
 
@@ -455,3 +606,17 @@
         play(seed)?;
     }
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: crate::model::cases().div_ceil(6),
+        ..ProptestConfig::default()
+    })]
+
+    /// Long-running tasks have no tries that could be used up, and other work starts beside their
+    /// trials: the deadly one was started without end, or a sound one given up.
+    #[test]
+    fn deadly_long_running_task_is_given_up_and_sound_ones_run(seed in any::<u64>()) {
+        play_long_running(seed)?;
+    }
+}
