Let a departure excuse the runs of its own incarnation only

The logs show that the first crash was counted by a placer that could not store it; the next one had not heard from the worker and took the notice that a later incarnation had left for the end of all runs there.

A departure, or a worker's word that it drains, now excuses only the runs of that incarnation. a_departure_excuses_no_run_of_an_incarnation_that_crashed_before failed before (no crash counted) and passes.

--- a/crates/fleet/src/ledger/crash.rs
+++ b/crates/fleet/src/ledger/crash.rs
@@ -224,10 +224,10 @@
 
 impl Ledger {
     /// Removes and returns the runs that went down with the incarnations of a worker that are
-    /// over, the youngest first; none if the last incarnation had said itself that it drains.
+    /// over, the youngest first; none of an incarnation that had said itself that it drains.
     ///
     /// A notice of its end is not enough: one of a former incarnation may arrive late, after a
-    /// crash of the present one.
+    /// crash of the present one. A placer that has never heard from the worker has only that notice.
     pub(super) fn take_crashed_runs(
         &mut self,
         sidecar: &SmolStr,
@@ -238,19 +238,16 @@
             return Vec::new();
         };
         let mut lost = std::mem::take(&mut worker.expired_runs);
-        let has_left = match &worker.announced {
-            Some(announced) => announced.draining,
-            None => worker.departed.is_some(),
-        };
-        if has_left {
-            return Vec::new();
-        }
         let silent_since = worker.silent_since.unwrap_or(now);
         let runs = self.iter_runs_on(sidecar);
         let worker = &self.workers[sidecar];
         let started = runs.filter(|(_, _, run)| worker.may_have_run(run, now));
         lost.extend(started.map(|(id, key, run)| LostRun::new(id, key, run, silent_since)));
-        lost.retain(|l| is_over(&l.boot));
+        let has_left = |boot: &Boot| match &worker.announced {
+            Some(announced) => announced.draining && announced.boot == *boot,
+            None => worker.departed.as_ref().is_some_and(|d| d.0 == boot.id),
+        };
+        lost.retain(|l| is_over(&l.boot) && !has_left(&l.boot));
         lost.sort_by_key(|l| l.age);
         lost
     }
--- a/crates/fleet/tests/suite/crashes.rs
+++ b/crates/fleet/tests/suite/crashes.rs
@@ -154,6 +154,28 @@
     assert!(cluster.starts_after_third_crash("deadly", 0).len() < 3);
 }
 
+/// Guards against a crash that no placer counts: the next placer hears first that a later incarnation
+/// has left, which excused the runs of the one that crashed.
+#[test]
+fn a_departure_excuses_no_run_of_an_incarnation_that_crashed_before() {
+    let mut cluster = cluster()
+        .with_worker("n1", worker("w1", "r1"))
+        .with_worker("n2", worker("w2", "r1"));
+    cluster.submit(job("job", vec![step(1, 1)]));
+    cluster.advance(Duration::from_millis(300));
+    let sidecar = cluster.placements("job")[0].1.clone();
+
+    cluster.crash(&sidecar);
+    cluster.replace_placer();
+    let now = cluster.now;
+    let later = "later incarnation".into();
+    cluster.ledger.handle_departure(&sidecar, &later, now);
+    cluster.advance(Duration::from_secs(20));
+
+    let (record, _) = &cluster.stored["job"];
+    assert_eq!(record.tasks[0].3.crashes.count, 1);
+}
+
 /// A worker that is cut off longer than its lease loses its runs without having crashed.
 #[test]
 fn a_worker_out_of_touch_counts_as_no_crash() {
