Take no loss of power for the crash of a worker by a task

Cause: a start without an answer counted as a crash, alone and prompt, unless the worker was known to be silent or had listed its runs since. A loss of power takes the sidecar along, which a task does not; the placer did not look at that.

A sidecar now says when it started. If it has started again together with its worker, only runs that are known to have started count, without evidence.

--- a/crates/fleet/src/ledger/crash.rs
+++ b/crates/fleet/src/ledger/crash.rs
@@ -78,6 +78,8 @@
     /// How long the run had been started when the worker fell silent; none if another placer
     /// sent the start.
     age: Option<Duration>,
+    /// Whether the worker accepted the start or has listed the run.
+    is_seen: bool,
 }
 
 /// Returns whether a task is to be started only on trial: many workers have crashed under it, or
@@ -262,7 +264,7 @@
             .collect();
         for (sidecar, id) in left {
             let lost = self.take_crashed_runs(&sidecar, |boot| boot.id == id, now);
-            self.record_crash(&sidecar, &lost, now);
+            self.record_crash(&sidecar, &lost, false, now);
         }
     }
 
@@ -283,7 +285,17 @@
 
     /// Writes the crash of a worker into the records of the runs that were lost, and gives up
     /// the jobs whose tasks caused it.
-    pub(super) fn record_crash(&mut self, sidecar: &SmolStr, lost: &[LostRun], now: Duration) {
+    ///
+    /// A task does not crash the sidecar beside its worker. If the sidecar has started again as well,
+    /// only runs that are known to have started count, and the crash is no evidence against them.
+    pub(super) fn record_crash(
+        &mut self,
+        sidecar: &SmolStr,
+        lost: &[LostRun],
+        lost_power: bool,
+        now: Duration,
+    ) {
+        let lost: Vec<_> = lost.iter().filter(|l| l.is_seen || !lost_power).collect();
         if lost.is_empty() {
             return;
         }
@@ -291,20 +303,21 @@
             let entry = self.jobs.get(&l.job);
             (&l.job, entry.map(|e| e.group(l.key)))
         });
-        let alone = groups.collect::<HashSet<_>>().len() == 1;
-        self.note_crash(sidecar, lost, alone);
+        let alone = groups.collect::<HashSet<_>>().len() == 1 && !lost_power;
+        self.note_crash(sidecar, &lost, alone, lost_power);
         for run in lost {
-            self.count_crash(sidecar, run, alone, now);
+            let was_prompt = is_prompt(run.age) && !lost_power;
+            self.count_crash(sidecar, run, alone, was_prompt, now);
         }
     }
 
-    fn note_crash(&mut self, sidecar: &SmolStr, lost: &[LostRun], alone: bool) {
+    fn note_crash(&mut self, sidecar: &SmolStr, lost: &[&LostRun], alone: bool, lost_power: bool) {
         let listed = lost.iter().take(MAX_LISTED_RUNS).map(|l| {
             let (job, key, number, age) = (&l.job, l.key, l.number, l.age);
             format!(" {job} {key:?}#{number} age={age:?}")
         });
         let detail = format!(
-            "boot={} runs={} alone={alone}, the youngest first:{}",
+            "boot={} runs={} alone={alone} lost_power={lost_power}, the youngest first:{}",
             lost[0].boot.id,
             lost.len(),
             listed.collect::<String>()
@@ -313,7 +326,14 @@
     }
 
     /// Counts a crash under a task, and fails the job if the task is to be given up.
-    fn count_crash(&mut self, sidecar: &SmolStr, lost: &LostRun, alone: bool, now: Duration) {
+    fn count_crash(
+        &mut self,
+        sidecar: &SmolStr,
+        lost: &LostRun,
+        alone: bool,
+        was_prompt: bool,
+        now: Duration,
+    ) {
         let Some(entry) = self.jobs.get_mut(&lost.job) else {
             return;
         };
@@ -329,7 +349,6 @@
         }
         progress.crashes.count = progress.crashes.count.saturating_add(1);
         progress.crashes.alone = progress.crashes.alone.saturating_add(u32::from(alone));
-        let was_prompt = is_prompt(lost.age);
         progress.crashes.was_prompt = was_prompt;
         let is_proof = alone && was_prompt;
         progress.crashes.prompt = progress.crashes.prompt.saturating_add(u32::from(is_proof));
@@ -502,6 +521,7 @@
             number: run.number,
             boot: run.boot.clone(),
             age: started_at.map(|at| silent_since.saturating_sub(at)),
+            is_seen: run.is_seen,
         }
     }
 }
--- a/crates/fleet/src/ledger/listing.rs
+++ b/crates/fleet/src/ledger/listing.rs
@@ -42,8 +42,11 @@
             return;
         }
         let crashed = self.take_crashed_runs(sidecar, |b| *b != boot, now);
+        let mut lost_power = false;
         if let Some(worker) = self.workers.get_mut(sidecar) {
             worker.last_polled = Some(sent);
+            let known = std::mem::replace(&mut worker.sidecar_start, announced.sidecar_start);
+            lost_power = known.is_some() && known != announced.sidecar_start;
         }
         self.update_incarnation(sidecar, &boot);
         for (id, key, phase) in self.runs_on(sidecar, |r| r.boot != boot) {
@@ -51,7 +54,7 @@
                 self.settle_former_run(&id, key, &boot, now);
             }
         }
-        self.record_crash(sidecar, &crashed, now);
+        self.record_crash(sidecar, &crashed, lost_power, now);
         let Some(worker) = self.workers.get_mut(sidecar) else {
             return;
         };
--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -208,6 +208,8 @@
 struct Worker {
     addr: SocketAddr,
     announced: Option<Announcement>,
+    /// When its sidecar started, in milliseconds since the Unix epoch, if it said so.
+    sidecar_start: Option<u64>,
     /// Until when the worker is or was slow after its start, if it said so.
     cold_until: Option<Duration>,
     boot: Option<Boot>,
@@ -700,6 +702,7 @@
         Self {
             addr,
             announced: None,
+            sidecar_start: None,
             cold_until: None,
             boot: None,
             rack: SmolStr::default(),
--- a/crates/fleet/src/worker.rs
+++ b/crates/fleet/src/worker.rs
@@ -96,6 +96,10 @@
     /// used: the end of such a run shows that the worker forgets none. Set by the sidecar.
     #[serde(default, skip_serializing_if = "is_false")]
     pub probing: bool,
+    /// When the sidecar started, in milliseconds since the Unix epoch; none from a sidecar that does
+    /// not say it. Set by the sidecar.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub sidecar_start: Option<u64>,
 }
 
 impl Announcement {
--- a/crates/fleet/tests/suite/crashes.rs
+++ b/crates/fleet/tests/suite/crashes.rs
@@ -154,6 +154,27 @@
     assert!(cluster.starts_after_third_crash("deadly", 0).len() < 3);
 }
 
+/// Guards against a sound job that is given up as its workers lost power, which takes the sidecars
+/// along: three such crashes, alone and soon after the start, were taken for its doing.
+#[test]
+fn a_task_whose_workers_lose_power_is_not_given_up() {
+    let mut cluster = busy_cluster();
+    cluster.submit(job("sound", vec![step(1, 1)]));
+
+    for _ in 0..3 {
+        let end = cluster.now + Duration::from_secs(60);
+        while cluster.placements("sound").is_empty() && cluster.now < end {
+            cluster.advance(Duration::from_millis(50));
+        }
+        let sidecar = cluster.placements("sound")[0].1.clone();
+        cluster.lose_power(&sidecar);
+        cluster.advance(Duration::from_millis(50));
+    }
+    cluster.advance(Duration::from_secs(60));
+
+    assert_eq!(cluster.state("sound"), State::Completed);
+}
+
 /// Guards against a crash that no placer counts: the next placer hears first that a later incarnation
 /// has left, which excused the runs of the one that crashed.
 #[test]
--- a/crates/fleet/tests/suite/fixtures.rs
+++ b/crates/fleet/tests/suite/fixtures.rs
@@ -58,6 +58,8 @@
     pub on_hold: bool,
     /// Whether the sidecar stops each run that starts meanwhile.
     pub probing: bool,
+    /// When the sidecar started, in milliseconds since the Unix epoch.
+    pub sidecar_start: u64,
     /// The number of the newest heartbeat.
     pub sequence: u64,
     /// The progress of each run in percent, by task and number of the start.
@@ -204,6 +206,7 @@
         cold_left: 0,
         on_hold: false,
         probing: false,
+        sidecar_start: 1,
         sequence: 1,
         running: BTreeMap::new(),
         ended: Vec::new(),
@@ -401,6 +404,13 @@
         }
     }
 
+    /// Crashes a worker together with its sidecar.
+    pub fn lose_power(&mut self, sidecar: &str) {
+        self.crash(sidecar);
+        let fake = self.workers.get_mut(sidecar).expect("the worker exists");
+        fake.sidecar_start += 1;
+    }
+
     /// Ends the other members of a gang of which one has ended.
     pub fn break_gang(&mut self, ended: &TaskId, run: u64) {
         let step = &self.stored[&ended.job].0.job.steps[ended.step as usize];
@@ -722,6 +732,7 @@
             remaining: None,
             on_hold: self.on_hold,
             probing: self.probing,
+            sidecar_start: Some(self.sidecar_start),
         }
     }
 
--- a/crates/fleet/tests/suite/model.rs
+++ b/crates/fleet/tests/suite/model.rs
@@ -1055,6 +1055,7 @@
             remaining: None,
             on_hold,
             probing: true,
+            sidecar_start: None,
         };
         let list_run = |(task, (run, progress)): (&TaskId, &(u64, u64))| Running {
             task: task.clone(),
--- a/crates/roles/src/fleet/sidecar/incarnations.rs
+++ b/crates/roles/src/fleet/sidecar/incarnations.rs
@@ -210,6 +210,7 @@
         Announcement {
             on_hold,
             probing: true,
+            sidecar_start: Some(self.started),
             ..newest
         }
     }
--- a/crates/roles/src/fleet/sidecar/mod.rs
+++ b/crates/roles/src/fleet/sidecar/mod.rs
@@ -84,6 +84,8 @@
     epoch: Cell<u64>,
     /// When the last order arrived.
     last_order: Cell<Duration>,
+    /// When this process started, in milliseconds since the Unix epoch.
+    started: u64,
 }
 
 /// Runs a sidecar until a planned stop is complete.
@@ -132,6 +134,7 @@
         open_polls: Rc::default(),
         epoch: Cell::new(0),
         last_order: Cell::new(shared.clock.now()),
+        started: shared.clock.wall_ms(),
         shared: shared.clone(),
     });
     let peer_limits = RpcLimits::new(limiter.clone(), MAX_PEER_MESSAGE);
--- a/src/cmd/bench/ledger.rs
+++ b/src/cmd/bench/ledger.rs
@@ -201,6 +201,7 @@
             remaining: None,
             on_hold: false,
             probing: false,
+            sidecar_start: None,
         };
         let listing = Listing {
             is_partial: false,
--- a/src/cmd/bench/run_times.rs
+++ b/src/cmd/bench/run_times.rs
@@ -562,5 +562,6 @@
         cold_left: 0,
         on_hold: false,
         probing: false,
+        sidecar_start: None,
     }
 }
