--- a/crates/fleet/src/ledger/crash.rs
+++ b/crates/fleet/src/ledger/crash.rs
@@ -6,7 +6,7 @@
 //! which nothing else starts until the suspect has outlived the crashes before. Only a crash of
 //! a worker on which nothing else ran counts as evidence; a task with enough of it is given up.
 //!
-//! No trial keeps other work out for good: it ends after `MAX_TRIAL`, and sound tasks that find no
+//! No trial keeps other work out without end: it ends after `MAX_TRIAL`, and sound tasks that find no
 //! room elsewhere start beside it sooner.
 
 use super::Decision;
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -733,7 +733,7 @@
 }
 
 /// Guards against a worker that gets no work until it starts again: it left an acknowledgement
-/// unanswered, crashed, and was left out for good as it might forget ends.
+/// unanswered, crashed, and was left out from then on as it might forget ends.
 #[test]
 fn worker_back_after_an_unanswered_acknowledgement_is_used_again() {
     let fleet = Fleet::start(1, 2);
