Count runs instead of starts where a worker comes back under its identifier

A crash right after an end can leave its acknowledgement unanswered; the next incarnation is then on hold, and its sidecar stops the first run there, whose task starts again. That is no second run: the task had not ended. The same can happen in worker_back_under_its_identifier_takes_no_calls_for_its_former_life.

Both now require that each task has exactly one run that was not stopped. A task that runs again after its end, or beside another run, still fails them.

--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -650,7 +650,7 @@
     fleet.wait_for("the second job to complete", |f| {
         f.get_body(0, second_path).contains("completed")
     });
-    fleet.assert_started_once();
+    fleet.assert_ran_once();
 }
 
 /// Guards against a start that a worker leaves unanswered and carries out after a crash: the next
@@ -708,7 +708,7 @@
 
     complete_job(&fleet, JOB_PATH, 1);
     assert_eq!(fleet.metric(0, "placer_epoch"), epoch);
-    fleet.assert_started_once();
+    fleet.assert_ran_once();
 }
 /// Lets a worker run a task and leave the acknowledgement of its end unanswered, to be carried out
 /// `delay` later, and starts it again under its identifier after a crash. Returns its number.
--- a/tests/testsuite/fleet_harness.rs
+++ b/tests/testsuite/fleet_harness.rs
@@ -333,6 +333,17 @@
         assert!(starts.values().all(|n| *n == 1), "{starts:?}");
     }
 
+    /// Fails if a task ran more than once. Runs that were stopped do not count, as a sidecar stops
+    /// them on a worker on hold.
+    pub fn assert_ran_once(&self) {
+        let mut runs: BTreeMap<String, u32> = BTreeMap::new();
+        for run in self.workers.iter().flat_map(|w| w.history()) {
+            let was_stopped = run.ended.is_some_and(|(_, end)| end == "stopped");
+            *runs.entry(run.task).or_default() += u32::from(!was_stopped);
+        }
+        assert!(runs.values().all(|count| *count == 1), "{runs:?}");
+    }
+
     /// Returns the runs of a task that were lost in crashes of workers, by the end of its name.
     pub fn runs_lost(&self, task: &str) -> Vec<SeenRun> {
         let runs = self.workers.iter().flat_map(WorkerStandin::history);
