Log from which listing the runs of a worker that has left are known

E1202 names the sidecar's last listing of a worker that has left: its age, the runs with their percentages and the ends. E1613 says whether a worker has left or its lease has expired, and how far the run was. Together they tell whether an end never reached the sidecar, reached only the sidecar, or was dropped by the placer.

--- a/crates/fleet/src/last_listing.rs
+++ b/crates/fleet/src/last_listing.rs
@@ -7,21 +7,46 @@
 use crate::worker::Announcement;
 use crate::worker::Boot;
 use crate::worker::Listing;
+use crate::worker::TaskId;
+use std::fmt::Write;
+use std::time::Duration;
+
+/// The most runs and ends that a summary names.
+const MAX_NAMED: usize = 8;
 
 /// The newest listing of a draining incarnation.
 #[derive(Clone, Debug, Default)]
 pub struct LastListing {
     kept: Option<(Announcement, Listing)>,
+    /// When the listing arrived.
+    arrived: Duration,
 }
 
 impl LastListing {
-    /// Keeps a listing of an incarnation if it drains.
-    pub fn keep(&mut self, announced: &Announcement, listing: &Listing) {
+    /// Keeps a listing of an incarnation that arrived at `now`, if the incarnation drains.
+    pub fn keep(&mut self, announced: &Announcement, listing: &Listing, now: Duration) {
         if announced.draining && announced.boot.born == listing.born {
             self.kept = Some((announced.clone(), listing.clone()));
+            self.arrived = now;
         }
     }
 
+    /// Describes the newest listing of an incarnation: its age, the runs with their percentages, and
+    /// the ends.
+    pub fn describe(&self, boot: &Boot, now: Duration) -> String {
+        let Some((_, listing)) = self.kept.as_ref().filter(|(a, _)| a.boot == *boot) else {
+            return "listed=none".into();
+        };
+        let mut text = format!("listed={:?} ago", now.saturating_sub(self.arrived));
+        for run in listing.running.iter().take(MAX_NAMED) {
+            let _ = write!(text, " {}#{} at {}%", name(&run.task), run.run, run.percent);
+        }
+        for end in listing.ended.iter().take(MAX_NAMED) {
+            let _ = write!(text, " {}#{} {:?}", name(&end.task), end.run, end.end);
+        }
+        text
+    }
+
     /// Returns the newest listing of an incarnation with its ends above `acknowledged`; none
     /// without such ends. The other ends are forgotten.
     pub fn unacknowledged(
@@ -34,3 +59,11 @@
         (!listing.ended.is_empty()).then(|| (announced.clone(), listing.clone()))
     }
 }
+
+fn name(task: &TaskId) -> String {
+    format!(
+        "{} {:?}",
+        task.job,
+        (task.occurrence, task.step, task.index)
+    )
+}
--- a/crates/fleet/src/ledger/ends.rs
+++ b/crates/fleet/src/ledger/ends.rs
@@ -177,8 +177,15 @@
         let worker = self.workers.get(&run.sidecar);
         let lease = worker.map(|w| w.lease_end.saturating_sub(now));
         let detail = format!(
-            "task={key:?} run={} worker={} phase={:?} boot={} born={} lease={lease:?}: {reason}",
-            run.number, run.sidecar, run.phase, run.boot.id, run.boot.born
+            "task={key:?} run={} worker={} phase={:?} boot={} born={} percent={} checkpoint={:?} \
+             lease={lease:?}: {reason}",
+            run.number,
+            run.sidecar,
+            run.phase,
+            run.boot.id,
+            run.boot.born,
+            run.percent,
+            run.checkpoint
         );
         self.note(Decision::Lost, id, &account, detail);
         self.store_checkpoint(id, key, &run.checkpoint);
--- a/crates/fleet/src/ledger/supervise.rs
+++ b/crates/fleet/src/ledger/supervise.rs
@@ -71,13 +71,11 @@
             }
         }
         self.keep_expired_runs(&expired, now);
-        for (id, key) in departed.into_iter().chain(expired) {
-            self.mark_lost(
-                &id,
-                key,
-                "the worker has left or its lease has expired",
-                now,
-            );
+        for (id, key) in departed {
+            self.mark_lost(&id, key, "the worker has left", now);
+        }
+        for (id, key) in expired {
+            self.mark_lost(&id, key, "the lease of the worker has expired", now);
         }
     }
 
--- a/crates/roles/src/fleet/sidecar/drain.rs
+++ b/crates/roles/src/fleet/sidecar/drain.rs
@@ -62,7 +62,8 @@
 
     /// Keeps the listing of a draining worker, and watches the worker from then on.
     pub(super) fn keep_listing(self: &Rc<Self>, announced: &Announcement, listing: &Listing) {
-        self.last_listing.borrow_mut().keep(announced, listing);
+        let now = self.shared.clock.now();
+        self.last_listing.borrow_mut().keep(announced, listing, now);
         let may_end = announced.draining && !listing.running.is_empty();
         if may_end && !self.watching.replace(true) {
             compio::runtime::spawn(self.clone().watch_drain(announced.clone())).detach();
@@ -86,7 +87,10 @@
             let Answer::Listed(_, listing) = answer else {
                 break;
             };
-            self.last_listing.borrow_mut().keep(&announced, &listing);
+            let now = self.shared.clock.now();
+            self.last_listing
+                .borrow_mut()
+                .keep(&announced, &listing, now);
             if listing.running.is_empty() {
                 break;
             }
@@ -125,8 +129,11 @@
             return None;
         }
         let left = self.announced.borrow_mut().end()?;
+        let last = self.last_listing.borrow();
+        let last = last.describe(boot, self.shared.clock.now());
+        let detail = format!("the worker has left: {last}");
         let log = &self.shared.log;
-        log.emit(Event::UpstreamLeaving, left.clone(), "the worker has left");
+        log.emit(Event::UpstreamLeaving, left.clone(), detail);
         Some(left)
     }
 }
