--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -424,6 +424,31 @@
     }
 }
 
+/// Guards against ends that nobody hears, as a worker leaves some milliseconds after them and its
+/// last answers are lost: their tasks were started again.
+#[test]
+fn task_that_ends_just_before_its_worker_leaves_runs_once() {
+    let fleet = Fleet::start(1, 2);
+    let run_time = Duration::from_millis(3_000);
+    let body = standin::job(&[(4, 2)], run_time.as_millis() as u64);
+    assert_eq!(fleet.call(0, "POST", JOB_PATH, &body).0, 200);
+    fleet.wait_for("the tasks to run", |f| f.start_counts().len() == 4);
+    let sidecar = fleet.busy_sidecar();
+    let worker = &fleet.workers[sidecar];
+    let last_start = worker.history().iter().map(|r| r.started).max();
+    let exit_at = last_start.expect("a task runs") + run_time + Duration::from_millis(10);
+
+    worker.exit_at(exit_at, Duration::from_millis(40));
+    std::thread::sleep(exit_at.saturating_duration_since(Instant::now()));
+    let notice = fleet.send_as_worker(sidecar, "DELETE", &worker.id(), "");
+
+    assert_eq!(notice, 200);
+    fleet.wait_for("the job to complete", |f| {
+        f.get_body(0, JOB_PATH).contains("completed")
+    });
+    fleet.assert_done_once();
+}
+
 /// Guards against runs that are given up because another process announces itself at the
 /// sidecar of their worker: they were started elsewhere while they were at work.
 #[test]
--- a/tests/testsuite/fleet_harness.rs
+++ b/tests/testsuite/fleet_harness.rs
@@ -344,6 +344,18 @@
         assert!(runs.values().all(|count| *count == 1), "{runs:?}");
     }
 
+    /// Fails if a task was started after one of its runs had ended as done.
+    pub fn assert_done_once(&self) {
+        let runs: Vec<SeenRun> = self.workers.iter().flat_map(|w| w.history()).collect();
+        for done in &runs {
+            let Some((at, "done")) = done.ended else {
+                continue;
+            };
+            let again = runs.iter().find(|r| r.task == done.task && r.started >= at);
+            assert!(again.is_none(), "{done:?} and then {again:?}");
+        }
+    }
+
     /// Returns the runs of a task that were lost in crashes of workers, by the end of its name.
     pub fn runs_lost(&self, task: &str) -> Vec<SeenRun> {
         let runs = self.workers.iter().flat_map(WorkerStandin::history);
