Stop what still runs on a worker shortly before it leaves

Cause: a worker took the only copy of an end along. It ended a task and left 8 ms later; the answer with the end was still on its way, and was lost although the sidecar polled every 4 ms. The placer then gave the run up as lost with its worker and started the task again. No polling interval closes this gap, since an answer takes time as well.

The worker says in its heartbeats how long it stays. Each end as done then comes while the worker still answers; after that, a run can only end as stopped.

Evidence: task_that_ends_just_before_its_worker_leaves_runs_once failed before (the task ended as done and started again 0.625 s later) and passes.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 //! ```
 
 pub mod announced;
+pub mod departure;
 pub mod ended_runs;
 pub mod fencing;
 pub mod job;
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the job records and of the placer's ledger.
 
 mod announced;
+mod announced_departures;
 mod capacity;
 mod cold;
 mod crashes;
--- a/crates/roles/src/fleet/sidecar/drain.rs
+++ b/crates/roles/src/fleet/sidecar/drain.rs
@@ -3,23 +3,31 @@
 //! A worker can leave some milliseconds after its last task. So that the end of that task is
 //! heard, the sidecar watches a draining worker also between the polls of the placer, keeps what it
 //! listed last, and answers with that in the worker's place until the placer has acknowledged it.
+//! If the worker says when it leaves, the sidecar stops what still runs shortly before.
 
 use super::Sidecar;
 use compio::time::sleep;
+use hibiscusbarrow_fleet::departure::first_stop;
+use hibiscusbarrow_fleet::departure::stop_time;
 use hibiscusbarrow_fleet::worker::Announcement;
 use hibiscusbarrow_fleet::worker::Answer;
 use hibiscusbarrow_fleet::worker::Boot;
 use hibiscusbarrow_fleet::worker::Envelope;
 use hibiscusbarrow_fleet::worker::Listing;
 use hibiscusbarrow_fleet::worker::Order;
+use hibiscusbarrow_fleet::worker::Running;
+use hibiscusbarrow_fleet::worker::TaskId;
 use hibiscusbarrow_model::event::Event;
 use smol_str::SmolStr;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 /// The time between two polls of a draining worker. Such a worker can exit about 10 ms
 /// after its last task, and then never answers a poll that waits for an end.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(4);
+/// The time between two attempts to stop the runs of a worker that is about to leave.
+const EARLY_STOP_INTERVAL: Duration = Duration::from_millis(25);
 
 impl Sidecar {
     /// Sends an order to the worker. While the worker drains, a poll that waits is replaced by
@@ -99,6 +107,81 @@
         self.watching.set(false);
     }
 
+    /// Reads from a heartbeat when the worker leaves.
+    pub(super) fn expect_departure(self: &Rc<Self>, heartbeat: &Announcement) {
+        let now = self.shared.clock.now();
+        if self.departure.borrow_mut().read(heartbeat, now) {
+            compio::runtime::spawn(self.clone().stop_before_departure(heartbeat.clone())).detach();
+        }
+    }
+
+    /// Stops what still runs on a worker shortly before it leaves.
+    async fn stop_before_departure(self: Rc<Self>, announced: Announcement) {
+        let stop_timeout = self.shared.settings.bounds.stop_timeout;
+        let mut stopped = HashSet::new();
+        loop {
+            let departure = self.departure.borrow().time(&announced.boot);
+            let Some(departure) = departure else {
+                return;
+            };
+            let now = self.shared.clock.now();
+            if now >= departure {
+                return;
+            }
+            let first = first_stop(departure, stop_timeout);
+            if now < first {
+                sleep(first - now).await;
+                continue;
+            }
+            self.stop_due_runs(&announced, departure, &mut stopped)
+                .await;
+            sleep(EARLY_STOP_INTERVAL).await;
+        }
+    }
+
+    /// Stops the runs of a leaving worker whose time has come, and adds those to `stopped` whose stop
+    /// was accepted.
+    async fn stop_due_runs(
+        self: &Rc<Self>,
+        announced: &Announcement,
+        departure: Duration,
+        stopped: &mut HashSet<(TaskId, u64)>,
+    ) {
+        let poll = Order::Poll {
+            acknowledged: 0,
+            deadline: None,
+            wait: 0,
+        };
+        let answer = self.send_fenced(self.epoch.get(), &poll, announced).await;
+        let Answer::Listed(_, listing) = answer else {
+            return;
+        };
+        self.keep_listing(announced, &listing);
+        let now = self.shared.clock.now();
+        let stop_timeout = self.shared.settings.bounds.stop_timeout;
+        let is_due = |r: &&Running| now >= stop_time(r, departure, stop_timeout);
+        for run in listing.running.iter().filter(is_due) {
+            let id = (run.task.clone(), run.run);
+            if stopped.contains(&id) {
+                continue;
+            }
+            self.ended_runs.borrow_mut().insert(&run.task, run.run);
+            let (task, number) = id.clone();
+            let stop = Order::Stop { task, run: number };
+            let answer = self.send_fenced(self.epoch.get(), &stop, announced).await;
+            let left = departure.saturating_sub(self.shared.clock.now());
+            let detail = format!(
+                "at {}% leaves in {left:?} {stop:?}: {answer:?}",
+                run.percent
+            );
+            let log = &self.shared.log;
+            log.emit(Event::RunStoppedEarly, announced.boot.id.clone(), detail);
+            if answer == Answer::Accepted {
+                stopped.insert(id);
+            }
+        }
+    }
+
     /// Returns the answer to a poll in place of a worker that no longer answers, if it listed ends
     /// that are not acknowledged yet.
     pub(super) fn answer_in_place(&self, envelope: &Envelope, boot: &Boot) -> Option<Answer> {
--- a/crates/roles/src/fleet/sidecar/mod.rs
+++ b/crates/roles/src/fleet/sidecar/mod.rs
@@ -30,6 +30,7 @@
 use hibiscusbarrow_adapters::signal::Flag;
 use hibiscusbarrow_fleet::announced::AnnouncedWorker;
 use hibiscusbarrow_fleet::announced::Verdict;
+use hibiscusbarrow_fleet::departure::Departure;
 use hibiscusbarrow_fleet::ended_runs::EndedRuns;
 use hibiscusbarrow_fleet::fencing::FencingTokens;
 use hibiscusbarrow_fleet::last_listing::LastListing;
@@ -72,6 +73,8 @@
     fencing: RefCell<FencingTokens>,
     /// The start time of the last incarnation that was put on hold.
     held: Cell<Option<u64>>,
+    /// When the worker leaves, by its own word.
+    departure: RefCell<Departure>,
     /// What the worker listed last if it drains.
     last_listing: RefCell<LastListing>,
     /// The worker's clock, against which the latest time of a start is checked.
@@ -128,6 +131,7 @@
         stray_calls: RefCell::default(),
         fencing: RefCell::default(),
         held: Cell::new(None),
+        departure: RefCell::default(),
         last_listing: RefCell::default(),
         clock: Cell::default(),
         watching: Cell::new(false),
@@ -214,7 +218,10 @@
         let former = self.announced.borrow().current().cloned();
         let verdict = self.announced.borrow_mut().hear(&heartbeat);
         match verdict {
-            Verdict::Accepted => self.log_accepted(&heartbeat, former.as_ref()),
+            Verdict::Accepted => {
+                self.log_accepted(&heartbeat, former.as_ref());
+                self.expect_departure(&heartbeat);
+            }
             Verdict::Outdated => {
                 let known = former.map_or(0, |a| a.sequence);
                 let detail = format!(
