Give the fleets of each test run a loopback network of their own

Two test runs beside each other bound the same addresses: draining_worker_receives_no_new_task failed with AddrInUse while another run had its first fleet at 127.77.1.1, by the times of their folders.

--- a/tests/testsuite/fleet_harness.rs
+++ b/tests/testsuite/fleet_harness.rs
@@ -52,9 +52,11 @@
     pub children: BTreeMap<String, Child>,
 }
 
-/// Returns the loopback address of a process of a fleet; the store has index 200.
+/// Returns the loopback address of a process of a fleet; the store has index 200. Test runs beside
+/// each other use different networks.
 fn process_ip(fleet: u32, process: usize) -> String {
-    format!("127.77.{fleet}.{}", process + 1)
+    let network = 16 + std::process::id() % 200;
+    format!("127.{network}.{fleet}.{}", process + 1)
 }
 
 impl Fleet {
