Give up the runs of a worker whose announced time is over once it is gone

Cause: a worker that was reclaimed ended as it had announced, but sent no notice. Its sidecar answered each poll as refused, so that the placer waited for the worker's lease, 9 s.

A worker whose announced time is over and at whose address no process listens has left. The placer hears of it as of a departure with a notice. The time is that of the worker's own heartbeats, so that a crash before it still counts as a crash.

--- a/crates/roles/src/fleet/sidecar/drain.rs
+++ b/crates/roles/src/fleet/sidecar/drain.rs
@@ -201,12 +201,15 @@
         Some(Answer::Listed(Box::new(announced), Box::new(listing)))
     }
 
-    /// Returns the identifier of an incarnation that has announced its end, if no process
-    /// listens at its address any more.
+    /// Returns the identifier of an incarnation that has announced its end, or whose announced time
+    /// is over, if no process listens at its address any more.
     pub(super) async fn check_departure(&self, boot: &Boot) -> Option<SmolStr> {
         let is_leaving = || {
             let announced = self.announced.borrow();
-            announced.is_leaving() && announced.current().is_some_and(|a| a.boot == *boot)
+            let departure = self.departure.borrow().time(boot);
+            let is_due = departure.is_some_and(|at| self.shared.clock.now() >= at);
+            let is_current = announced.current().is_some_and(|a| a.boot == *boot);
+            is_current && (announced.is_leaving() || is_due)
         };
         if !is_leaving() || !(self.worker.is_absent)().await || !is_leaving() {
             return None;
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -449,6 +449,28 @@
     fleet.assert_done_once();
 }
 
+/// Guards against tasks that wait for the lease of a worker that is known to be gone: it said when it
+/// leaves, and gave no notice as it did. The bound is that for tasks that could run and do not.
+#[test]
+fn tasks_of_a_worker_that_leaves_without_notice_run_again_within_three_seconds() {
+    let fleet = Fleet::start(1, 2);
+    let body = standin::job(&[(4, 2)], 8_000);
+    assert_eq!(fleet.call(0, "POST", JOB_PATH, &body).0, 200);
+    fleet.wait_for("the tasks to run", |f| f.start_counts().len() == 4);
+    let sidecar = fleet.busy_sidecar();
+    let lost = fleet.workers[sidecar].running();
+    let exit_at = Instant::now() + Duration::from_millis(2_000);
+
+    fleet.workers[sidecar].exit_at(exit_at, Duration::from_millis(1_000));
+    fleet.wait_for("the lost tasks to start again", |f| {
+        let starts = f.start_counts();
+        lost.iter().all(|task| starts[task] == 2)
+    });
+
+    let waited = Instant::now().saturating_duration_since(exit_at);
+    assert!(waited < Duration::from_secs(3), "started after {waited:?}");
+}
+
 /// Guards against runs that are given up because another process announces itself at the
 /// sidecar of their worker: they were started elsewhere while they were at work.
 #[test]
