Replace a kept listing of a draining worker by newer ones only

The sidecar polls a draining worker on several connections, and an answer from before an end could arrive after one with the end and replace it. If the worker had left by then, the end was lost, and its task would have run again.

older_listing_that_arrives_late_replaces_no_newer_one failed before (no end was kept) and passes.

--- a/crates/fleet/src/last_listing.rs
+++ b/crates/fleet/src/last_listing.rs
@@ -23,12 +23,19 @@
 }
 
 impl LastListing {
-    /// Keeps a listing of an incarnation that arrived at `now`, if the incarnation drains.
+    /// Keeps a listing of an incarnation that arrived at `now`, if the incarnation drains and the
+    /// listing is not older than the kept one. Answers on different connections can overtake each
+    /// other.
     pub fn keep(&mut self, announced: &Announcement, listing: &Listing, now: Duration) {
-        if announced.draining && announced.boot.born == listing.born {
-            self.kept = Some((announced.clone(), listing.clone()));
-            self.arrived = now;
+        if !announced.draining || announced.boot.born != listing.born {
+            return;
         }
+        let kept = self.kept.as_ref().filter(|(a, _)| a.boot == announced.boot);
+        if kept.is_some_and(|(_, kept)| age_order(listing) < age_order(kept)) {
+            return;
+        }
+        self.kept = Some((announced.clone(), listing.clone()));
+        self.arrived = now;
     }
 
     /// Describes the newest listing of an incarnation: its age, the runs with their percentages, and
@@ -60,6 +67,13 @@
     }
 }
 
+/// Returns a key by which listings of one incarnation are ordered. The clock has a resolution of a
+/// millisecond, within which a run may end.
+fn age_order(listing: &Listing) -> (u64, Option<u64>) {
+    let newest_end = listing.ended.iter().map(|e| e.number).max();
+    (listing.clock, newest_end)
+}
+
 fn name(task: &TaskId) -> String {
     format!(
         "{} {:?}",
--- a/crates/fleet/tests/suite/last_listing.rs
+++ b/crates/fleet/tests/suite/last_listing.rs
@@ -86,6 +86,25 @@
     assert_eq!(undelivered(&mut last, 7, 0), [1]);
 }
 
+/// Guards against ends that are forgotten, as an answer from before them arrives after them: the
+/// sidecar polls on several connections.
+#[test]
+fn older_listing_that_arrives_late_replaces_no_newer_one() {
+    let mut last = LastListing::default();
+    let at = |clock: u64, numbers: &[u64]| Listing {
+        clock,
+        ..listing(7, numbers)
+    };
+    last.keep(&heartbeat(7, true), &at(500, &[1]), SECOND);
+
+    last.keep(&heartbeat(7, true), &at(499, &[]), SECOND);
+    last.keep(&heartbeat(7, true), &at(500, &[]), SECOND);
+
+    assert_eq!(undelivered(&mut last, 7, 0), [1]);
+    last.keep(&heartbeat(7, true), &at(501, &[2]), SECOND);
+    assert_eq!(undelivered(&mut last, 7, 0), [2]);
+}
+
 /// Guards against departures after which the log does not tell whether the sidecar had received an
 /// end.
 #[test]
