Stop the runs of a leaving worker also if a call gets no answer

Calls now have 50 ms each, stops are sent side by side and also by the last listing, the time is checked every 100 ms, and stops go on while the worker answers. A worker that no longer drains takes its departure back.

--- a/crates/fleet/src/departure.rs
+++ b/crates/fleet/src/departure.rs
@@ -1,9 +1,9 @@
-//! When a draining worker leaves, and until when its runs may go on.
+//! When a draining worker leaves at the earliest, and until when its runs may go on.
 //!
 //! The listings of a worker that leaves are lost if they are still on their way, so a task that
 //! ends as done at that moment would run again. The sidecar therefore stops what still runs
-//! shortly before. The end of a run is then heard while the worker is still there; a stopped run
-//! continues elsewhere from the checkpoint that it makes at its stop.
+//! shortly before. A task with checkpoints continues elsewhere from the one that it makes at its
+//! stop; others start again.
 
 use crate::worker::Announcement;
 use crate::worker::Boot;
@@ -24,8 +24,12 @@
     /// Reads a heartbeat that arrived at `now`; returns whether it is the first to announce the
     /// departure of its incarnation.
     ///
-    /// A heartbeat that was delayed names too late a time, so that the earliest one counts.
+    /// A heartbeat that was delayed names too late a time, so that the earliest one counts. One
+    /// of an incarnation that does not drain any more takes its departure back.
     pub fn read(&mut self, heartbeat: &Announcement, now: Duration) -> bool {
+        if !heartbeat.draining && self.time(&heartbeat.boot).is_some() {
+            self.announced = None;
+        }
         let remaining = heartbeat.remaining.filter(|_| heartbeat.draining);
         let Some(remaining) = remaining.map(Duration::from_millis) else {
             return false;
@@ -37,7 +41,7 @@
         known.is_none()
     }
 
-    /// Returns when an incarnation leaves; none if it has not said that.
+    /// Returns when an incarnation leaves at the earliest; none if it has not said that.
     pub fn time(&self, boot: &Boot) -> Option<Duration> {
         let announced = self.announced.as_ref().filter(|(b, _)| b == boot);
         announced.map(|(_, at)| *at)
@@ -51,8 +55,8 @@
 
 /// Returns when a run on a worker that leaves at `departure` is to be stopped.
 ///
-/// A stop takes up to `stop_timeout`, after which the worker lists the checkpoint. A run without
-/// checkpoints loses its work in any case and may go on for longer.
+/// A stop takes up to `stop_timeout`, after which the worker lists the checkpoint. A run that has
+/// no checkpoint yet has little or nothing to save and may go on for longer.
 pub fn stop_time(run: &Running, departure: Duration, stop_timeout: Duration) -> Duration {
     if run.checkpoint.is_empty() {
         departure.saturating_sub(STOP_MARGIN)
--- a/crates/fleet/src/last_listing.rs
+++ b/crates/fleet/src/last_listing.rs
@@ -7,6 +7,7 @@
 use crate::worker::Announcement;
 use crate::worker::Boot;
 use crate::worker::Listing;
+use crate::worker::Running;
 use crate::worker::TaskId;
 use std::fmt::Write;
 use std::time::Duration;
@@ -31,13 +32,19 @@
             return;
         }
         let kept = self.kept.as_ref().filter(|(a, _)| a.boot == announced.boot);
-        if kept.is_some_and(|(_, kept)| age_order(listing) < age_order(kept)) {
+        if kept.is_some_and(|(_, kept)| freshness(listing) < freshness(kept)) {
             return;
         }
         self.kept = Some((announced.clone(), listing.clone()));
         self.arrived = now;
     }
 
+    /// Returns the runs in the newest listing of an incarnation.
+    pub fn running(&self, boot: &Boot) -> Vec<Running> {
+        let kept = self.kept.as_ref().filter(|(a, _)| a.boot == *boot);
+        kept.map_or_else(Vec::new, |(_, listing)| listing.running.clone())
+    }
+
     /// Describes the newest listing of an incarnation: its age, the runs with their percentages, and
     /// the ends.
     pub fn describe(&self, boot: &Boot, now: Duration) -> String {
@@ -69,7 +76,7 @@
 
 /// Returns a key by which listings of one incarnation are ordered. The clock has a resolution of a
 /// millisecond, within which a run may end.
-fn age_order(listing: &Listing) -> (u64, Option<u64>) {
+fn freshness(listing: &Listing) -> (u64, Option<u64>) {
     let newest_end = listing.ended.iter().map(|e| e.number).max();
     (listing.clock, newest_end)
 }
--- a/crates/fleet/tests/suite/announced_departures.rs
+++ b/crates/fleet/tests/suite/announced_departures.rs
@@ -58,8 +58,9 @@
     assert_eq!(departure.time(&boot(7)), Some(ms(3_000)));
 }
 
+/// Guards against runs that are stopped on a worker that stays.
 #[test]
-fn departure_is_that_of_its_incarnation_and_needs_a_time() {
+fn departure_applies_to_the_draining_incarnation_that_announced_it() {
     let mut departure = Departure::default();
     assert!(!departure.read(&heartbeat(7, None), ms(1_000)));
     assert_eq!(departure.time(&boot(7)), None);
@@ -75,6 +76,12 @@
     assert!(is_first);
     assert_eq!(departure.time(&boot(7)), None);
     assert_eq!(departure.time(&boot(8)), Some(ms(10_500)));
+    let stays = Announcement {
+        boot: boot(8),
+        ..stays
+    };
+    departure.read(&stays, ms(1_600));
+    assert_eq!(departure.time(&boot(8)), None);
 }
 
 /// Guards against ends that come as the worker leaves, and against lost checkpoints.
--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -105,7 +105,7 @@
     RunTimesStored = 1721, "The placer stored the learned run times; the line names the most frequent kinds of tasks.";
     ProbeStopped = 1722, "A run on a worker on hold was stopped, so that its end shows whether the worker forgets ends.";
     WorkerReleased = 1723, "A worker on hold has listed an end; it forgets none and is used like the others.";
-    RunStoppedEarly = 1724, "A run was stopped by its sidecar, as its worker is about to leave; it continues elsewhere.";
+    EarlyStop = 1724, "A sidecar ordered the stop of a run, as its worker is about to leave.";
     StoreDown = 1801, "The key-value service stopped answering.";
     StoreBack = 1802, "The key-value service answers again.";
     MirrorReset = 1803, "The store no longer has the history needed; its content is read again.";
--- a/crates/roles/src/fleet/sidecar/drain.rs
+++ b/crates/roles/src/fleet/sidecar/drain.rs
@@ -7,6 +7,8 @@
 
 use super::Sidecar;
 use compio::time::sleep;
+use compio::time::timeout;
+use futures_util::future::join_all;
 use hibiscusbarrow_fleet::departure::first_stop;
 use hibiscusbarrow_fleet::departure::stop_time;
 use hibiscusbarrow_fleet::worker::Announcement;
@@ -28,6 +30,10 @@
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(4);
 /// The time between two attempts to stop the runs of a worker that is about to leave.
 const EARLY_STOP_INTERVAL: Duration = Duration::from_millis(25);
+/// The longest time between two checks whether runs of a draining worker are to be stopped.
+const MAX_EARLY_STOP_SLEEP: Duration = Duration::from_millis(100);
+/// The timeout of a call that stops a run of a worker that is about to leave, and of the poll before.
+const EARLY_STOP_TIMEOUT: Duration = Duration::from_millis(50);
 
 impl Sidecar {
     /// Sends an order to the worker. While the worker drains, a poll that waits is replaced by
@@ -107,79 +113,93 @@
         self.watching.set(false);
     }
 
-    /// Reads from a heartbeat when the worker leaves.
-    pub(super) fn expect_departure(self: &Rc<Self>, heartbeat: &Announcement) {
+    /// Reads from a heartbeat when the worker leaves, and stops its runs before that.
+    pub(super) fn schedule_early_stops(self: &Rc<Self>, heartbeat: &Announcement) {
         let now = self.shared.clock.now();
         if self.departure.borrow_mut().read(heartbeat, now) {
             compio::runtime::spawn(self.clone().stop_before_departure(heartbeat.clone())).detach();
         }
     }
 
-    /// Stops what still runs on a worker shortly before it leaves.
+    /// Stops what still runs on a worker shortly before it leaves, and for as long as it stays
+    /// beyond its announced time.
     async fn stop_before_departure(self: Rc<Self>, announced: Announcement) {
+        let boot = &announced.boot;
         let stop_timeout = self.shared.settings.bounds.stop_timeout;
+        let is_current = || self.announced.borrow().current().map(|a| &a.boot) == Some(boot);
+        let departure = || self.departure.borrow().time(boot);
         let mut stopped = HashSet::new();
-        loop {
-            let departure = self.departure.borrow().time(&announced.boot);
-            let Some(departure) = departure else {
-                return;
-            };
+        while let Some(departure) = departure().filter(|_| is_current()) {
             let now = self.shared.clock.now();
-            if now >= departure {
-                return;
-            }
-            let first = first_stop(departure, stop_timeout);
-            if now < first {
-                sleep(first - now).await;
-                continue;
+            let wait = first_stop(departure, stop_timeout).saturating_sub(now);
+            if wait.is_zero() {
+                let answered = self
+                    .stop_due_runs(&announced, departure, &mut stopped)
+                    .await;
+                if !answered && now >= departure {
+                    return;
+                }
             }
-            self.stop_due_runs(&announced, departure, &mut stopped)
-                .await;
-            sleep(EARLY_STOP_INTERVAL).await;
+            // A further heartbeat may name an earlier time.
+            sleep(wait.clamp(EARLY_STOP_INTERVAL, MAX_EARLY_STOP_SLEEP)).await;
         }
     }
 
     /// Stops the runs of a leaving worker whose time has come, and adds those to `stopped` whose stop
-    /// was accepted.
+    /// was accepted; returns whether the worker answered a poll.
+    ///
+    /// No call is waited for longer than [`EARLY_STOP_TIMEOUT`], as there is little time left.
     async fn stop_due_runs(
         self: &Rc<Self>,
         announced: &Announcement,
         departure: Duration,
         stopped: &mut HashSet<(TaskId, u64)>,
-    ) {
+    ) -> bool {
         let poll = Order::Poll {
             acknowledged: 0,
             deadline: None,
             wait: 0,
         };
-        let answer = self.send_fenced(self.epoch.get(), &poll, announced).await;
-        let Answer::Listed(_, listing) = answer else {
-            return;
+        let poll = self.send_fenced(self.epoch.get(), &poll, announced);
+        let answer = timeout(EARLY_STOP_TIMEOUT, poll).await;
+        let answered = if let Ok(Answer::Listed(_, listing)) = &answer {
+            self.keep_listing(announced, listing);
+            true
+        } else {
+            false
         };
-        self.keep_listing(announced, &listing);
         let now = self.shared.clock.now();
         let stop_timeout = self.shared.settings.bounds.stop_timeout;
-        let is_due = |r: &&Running| now >= stop_time(r, departure, stop_timeout);
-        for run in listing.running.iter().filter(is_due) {
-            let id = (run.task.clone(), run.run);
-            if stopped.contains(&id) {
-                continue;
-            }
-            self.ended_runs.borrow_mut().insert(&run.task, run.run);
-            let (task, number) = id.clone();
-            let stop = Order::Stop { task, run: number };
-            let answer = self.send_fenced(self.epoch.get(), &stop, announced).await;
-            let left = departure.saturating_sub(self.shared.clock.now());
-            let detail = format!(
-                "at {}% leaves in {left:?} {stop:?}: {answer:?}",
-                run.percent
-            );
-            let log = &self.shared.log;
-            log.emit(Event::RunStoppedEarly, announced.boot.id.clone(), detail);
-            if answer == Answer::Accepted {
-                stopped.insert(id);
-            }
-        }
+        let is_due = |r: &Running| {
+            let is_stopped = stopped.contains(&(r.task.clone(), r.run));
+            !is_stopped && now >= stop_time(r, departure, stop_timeout)
+        };
+        let mut due = self.last_listing.borrow().running(&announced.boot);
+        due.retain(is_due);
+        let stops = due.iter().map(|run| self.stop_early(announced, run));
+        let accepted = join_all(stops).await;
+        let runs = due.into_iter().zip(accepted).filter(|(_, done)| *done);
+        stopped.extend(runs.map(|(run, _)| (run.task, run.run)));
+        answered
+    }
+
+    /// Stops a run of a leaving worker; returns whether the worker accepted that.
+    async fn stop_early(&self, announced: &Announcement, run: &Running) -> bool {
+        self.ended_runs.borrow_mut().insert(&run.task, run.run);
+        let (task, number) = (run.task.clone(), run.run);
+        let stop = Order::Stop { task, run: number };
+        let sent = self.send_fenced(self.epoch.get(), &stop, announced);
+        let answer = timeout(EARLY_STOP_TIMEOUT, sent).await;
+        let answer = answer.unwrap_or(Answer::Silent);
+        let departure = self.departure.borrow().time(&announced.boot);
+        let left = departure.map(|at| at.saturating_sub(self.shared.clock.now()));
+        let detail = format!(
+            "at {}% remaining={left:?} {stop:?}: {answer:?}",
+            run.percent
+        );
+        let log = &self.shared.log;
+        log.emit(Event::EarlyStop, announced.boot.id.clone(), detail);
+        answer == Answer::Accepted
     }
 
     /// Returns the answer to a poll in place of a worker that no longer answers, if it listed ends
@@ -207,9 +227,9 @@
         let is_leaving = || {
             let announced = self.announced.borrow();
             let departure = self.departure.borrow().time(boot);
-            let is_due = departure.is_some_and(|at| self.shared.clock.now() >= at);
+            let is_over = departure.is_some_and(|at| self.shared.clock.now() >= at);
             let is_current = announced.current().is_some_and(|a| a.boot == *boot);
-            is_current && (announced.is_leaving() || is_due)
+            is_current && (announced.is_leaving() || is_over)
         };
         if !is_leaving() || !(self.worker.is_absent)().await || !is_leaving() {
             return None;
--- a/crates/roles/src/fleet/sidecar/incarnations.rs
+++ b/crates/roles/src/fleet/sidecar/incarnations.rs
@@ -34,7 +34,7 @@
                     self.block_stray_starts(&heartbeat).await;
                     self.announced.borrow_mut().confirm(heartbeat.clone());
                     self.log_accepted(&heartbeat, former.as_ref());
-                    self.expect_departure(&heartbeat);
+                    self.schedule_early_stops(&heartbeat);
                 }
                 Err(answer) => {
                     let known = self.announced.borrow().current().map(|a| a.boot.clone());
--- a/crates/roles/src/fleet/sidecar/mod.rs
+++ b/crates/roles/src/fleet/sidecar/mod.rs
@@ -73,7 +73,7 @@
     fencing: RefCell<FencingTokens>,
     /// The start time of the last incarnation that was put on hold.
     held: Cell<Option<u64>>,
-    /// When the worker leaves, by its own word.
+    /// When the worker leaves, as announced in its heartbeats.
     departure: RefCell<Departure>,
     /// What the worker listed last if it drains.
     last_listing: RefCell<LastListing>,
@@ -220,7 +220,7 @@
         match verdict {
             Verdict::Accepted => {
                 self.log_accepted(&heartbeat, former.as_ref());
-                self.expect_departure(&heartbeat);
+                self.schedule_early_stops(&heartbeat);
             }
             Verdict::Outdated => {
                 let known = former.map_or(0, |a| a.sequence);
