Deliver the ends of a former worker before the listings of the next one

What callers would see: a task runs again after it has ended as done (TWICE).

Cause: a sidecar keeps the ends of a worker that has left until the placer has received them. Once the next incarnation had been confirmed, it answered all polls with that one's listings. A placer that was suspended around the departure took the former runs for lost with their worker and started their tasks again. The kept listing, the only copy of the ends, was still there.

The sidecar now answers a placer that knows the former incarnation, or none, with the kept ends until these are acknowledged, and only then with the listings of the next one.

--- a/crates/fleet/src/last_listing.rs
+++ b/crates/fleet/src/last_listing.rs
@@ -45,6 +45,11 @@
         kept.map_or_else(Vec::new, |(_, listing)| listing.running.clone())
     }
 
+    /// Returns the incarnation whose listing is kept.
+    pub fn boot(&self) -> Option<&Boot> {
+        self.kept.as_ref().map(|(announced, _)| &announced.boot)
+    }
+
     /// Describes the newest listing of an incarnation: its age, the runs with their percentages, and
     /// the ends.
     pub fn describe(&self, boot: &Boot, now: Duration) -> String {
--- a/crates/roles/src/fleet/sidecar/drain.rs
+++ b/crates/roles/src/fleet/sidecar/drain.rs
@@ -221,6 +221,17 @@
         Some(Answer::Listed(Box::new(announced), Box::new(listing)))
     }
 
+    /// Returns the answer to a poll in place of an incarnation before the present one, if the placer
+    /// knows that one or none, and it listed ends that are not acknowledged yet.
+    pub(super) fn answer_for_former(&self, envelope: &Envelope, current: &Boot) -> Option<Answer> {
+        let former = self.last_listing.borrow().boot().cloned();
+        let former = former.filter(|f| f != current)?;
+        let is_known = envelope.boot.as_ref().is_none_or(|b| *b == former);
+        is_known
+            .then(|| self.answer_in_place(envelope, &former))
+            .flatten()
+    }
+
     /// Returns the identifier of an incarnation that has announced its end, or whose announced time
     /// is over, if no process listens at its address any more.
     pub(super) async fn check_departure(&self, boot: &Boot) -> Option<SmolStr> {
--- a/crates/roles/src/fleet/sidecar/mod.rs
+++ b/crates/roles/src/fleet/sidecar/mod.rs
@@ -310,6 +310,9 @@
             let kept = self.answer_in_place(&envelope, &left);
             return kept.unwrap_or(Answer::Left(left.id));
         };
+        if let Some(kept) = self.answer_for_former(&envelope, &announced.boot) {
+            return kept;
+        }
         let mut envelope = envelope;
         if envelope.boot.as_ref() != Some(&announced.boot) {
             match &mut envelope.order {
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -449,6 +449,36 @@
     fleet.assert_done_once();
 }
 
+/// Guards against ends that are forgotten as another incarnation takes the place of a worker that
+/// has left: its sidecar had heard them, and the placer, which is suspended around them, had not.
+#[test]
+fn ends_of_a_worker_that_has_left_are_received_after_the_next_one_has_come() {
+    let fleet = Fleet::start(1, 1);
+    let run_time = Duration::from_millis(3_000);
+    let body = standin::job(&[(4, 2)], run_time.as_millis() as u64);
+    assert_eq!(fleet.call(0, "POST", JOB_PATH, &body).0, 200);
+    fleet.wait_for("the tasks to run", |f| f.start_counts().len() == 4);
+    let worker = &fleet.workers[0];
+    let last_start = worker.history().iter().map(|r| r.started).max();
+    let last_end = last_start.expect("a task runs") + run_time;
+    let sleep_until = |at: Instant| {
+        std::thread::sleep(at.saturating_duration_since(Instant::now()));
+    };
+
+    worker.exit_at(last_end + Duration::from_millis(300), Duration::ZERO);
+    sleep_until(last_end - Duration::from_millis(100));
+    fleet.signal(0, "-STOP");
+    sleep_until(last_end + Duration::from_millis(350));
+    worker.restart("next", 1_700_000_900_000);
+    std::thread::sleep(Duration::from_millis(600));
+    fleet.signal(0, "-CONT");
+
+    fleet.wait_for("the job to complete", |f| {
+        f.get_body(0, JOB_PATH).contains("completed")
+    });
+    fleet.assert_started_once();
+}
+
 /// Guards against tasks that wait for the lease of a worker that is known to be gone: it said when it
 /// leaves, and gave no notice as it did. The bound is that for tasks that could run and do not.
 #[test]
