Count an end as done also while the next start of its task is not sent

What callers would see: a task runs again after its end was taken note of (TWICE).

Cause: the ledger ignored the end of a former run as soon as the next one was planned, and acknowledged it; the planned start was then sent. It was ignored as well if that start had been withdrawn in between.

An end as done of any run up to the newest now counts unless a later start was sent. Planned starts are withdrawn.

--- a/crates/fleet/src/ledger/ends.rs
+++ b/crates/fleet/src/ledger/ends.rs
@@ -15,7 +15,7 @@
     /// Applies an end that a worker lists to the record of the job.
     ///
     /// Ignores the end of an outdated run. The success of a run that was already given
-    /// up counts as long as the task has not started again.
+    /// up counts as long as no later start was sent; one that is only planned is withdrawn.
     pub(super) fn apply_end(&mut self, sidecar: &SmolStr, ended: &Ended, now: Duration) {
         let id = &ended.task.job;
         let key = (ended.task.occurrence, ended.task.step, ended.task.index);
@@ -27,12 +27,11 @@
         }
         let account = entry.record.job.account.clone();
         let progress = entry.record.progress(key.0, key.1, key.2);
-        let is_newest = progress.is_some_and(|p| p.run == ended.run && !p.done);
-        let is_current = match entry.runs.get(&key) {
-            Some(run) => run.number == ended.run && run.sidecar == *sidecar,
-            None => is_newest && ended.end == End::Done,
-        };
-        if !is_newest || !is_current {
+        let is_open = progress.is_some_and(|p| p.run >= ended.run && !p.done);
+        let run = entry.runs.get(&key);
+        let is_current = run.is_some_and(|r| r.number == ended.run && r.sidecar == *sidecar);
+        let is_late = || ended.end == End::Done && !entry.has_sent_runs(key);
+        if !is_open || !(is_current || is_late()) {
             return;
         }
         let detail = format!(
@@ -41,6 +40,9 @@
         );
         let long_running = entry.step(key).long_running;
         let gang = entry.step(key).gang;
+        if !is_current {
+            self.mark_lost(id, key, "a former run is done", now);
+        }
         let run = self.remove_run(id, key);
         self.note(Decision::Ended, id, &account, detail);
         self.store_checkpoint(id, key, &ended.checkpoint);
--- a/crates/fleet/src/ledger/mod.rs
+++ b/crates/fleet/src/ledger/mod.rs
@@ -647,6 +647,17 @@
         open
     }
 
+    /// Returns whether a start of the task, or of its gang, was sent whose run is not over.
+    fn has_sent_runs(&self, key: TaskKey) -> bool {
+        let members = if self.step(key).gang {
+            (key.0, key.1, 0)..=(key.0, key.1, u32::MAX)
+        } else {
+            key..=key
+        };
+        let mut runs = self.runs.range(members);
+        runs.any(|(_, r)| r.phase != Phase::Planned)
+    }
+
     fn step(&self, key: TaskKey) -> &Step {
         &self.record.job.steps[key.1 as usize]
     }
--- a/crates/fleet/tests/suite/main.rs
+++ b/crates/fleet/tests/suite/main.rs
@@ -16,6 +16,7 @@
 mod learned;
 mod model;
 mod occurrences;
+mod older_states;
 mod order;
 mod policies;
 mod policy_plays;
