Watch a draining worker also after a poll that it refuses

The sidecar ended its watch for good at one poll that was refused or not answered, until the placer polled again. An end in between was lost if the worker then left.

--- a/crates/roles/src/fleet/sidecar/drain.rs
+++ b/crates/roles/src/fleet/sidecar/drain.rs
@@ -28,6 +28,8 @@
 /// The time between two polls of a draining worker. Such a worker can exit about 10 ms
 /// after its last task, and then never answers a poll that waits for an end.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(4);
+/// How long a draining worker may refuse polls or not answer them before it is no longer watched.
+const MAX_WATCHED_SILENCE: Duration = Duration::from_secs(1);
 /// The time between two attempts to stop the runs of a worker that is about to leave.
 const EARLY_STOP_INTERVAL: Duration = Duration::from_millis(25);
 /// The longest time between two checks whether runs of a draining worker are to be stopped.
@@ -85,28 +87,31 @@
     }
 
     /// Polls a draining worker while the placer does not, and keeps its listings, until it runs
-    /// nothing or does not answer.
+    /// nothing, has left or has not answered for [`MAX_WATCHED_SILENCE`].
     async fn watch_drain(self: Rc<Self>, announced: Announcement) {
         let poll = Order::Poll {
             acknowledged: 0,
             deadline: None,
             wait: 0,
         };
-        loop {
+        let mut answered_at = self.shared.clock.now();
+        let is_current =
+            || self.announced.borrow().current().map(|a| &a.boot) == Some(&announced.boot);
+        while is_current() && self.shared.clock.now() < answered_at + MAX_WATCHED_SILENCE {
             if Rc::strong_count(&self.open_polls) > 1 {
+                answered_at = self.shared.clock.now();
                 sleep(DRAIN_POLL_INTERVAL).await;
                 continue;
             }
             let answer = self.send_fenced(self.epoch.get(), &poll, &announced).await;
-            let Answer::Listed(_, listing) = answer else {
-                break;
-            };
-            let now = self.shared.clock.now();
-            self.last_listing
-                .borrow_mut()
-                .keep(&announced, &listing, now);
-            if listing.running.is_empty() {
-                break;
+            if let Answer::Listed(_, listing) = answer {
+                answered_at = self.shared.clock.now();
+                self.last_listing
+                    .borrow_mut()
+                    .keep(&announced, &listing, answered_at);
+                if listing.running.is_empty() {
+                    break;
+                }
             }
             sleep(DRAIN_POLL_INTERVAL).await;
         }
