Take a listing that stands in for a worker as partial

A draining worker that did not answer for a moment was answered for with an older listing, as if that were complete. A run that the worker had accepted since would have been given up while it was at work. Found by reading and by a test; not seen in a play.

--- a/crates/roles/src/fleet/sidecar/drain.rs
+++ b/crates/roles/src/fleet/sidecar/drain.rs
@@ -208,7 +208,8 @@
     }
 
     /// Returns the answer to a poll in place of a worker that no longer answers, if it listed ends
-    /// that are not acknowledged yet.
+    /// that are not acknowledged yet. A run that the listing lacks may have been accepted since, so
+    /// that it counts as partial.
     pub(super) fn answer_in_place(&self, envelope: &Envelope, boot: &Boot) -> Option<Answer> {
         let Order::Poll { acknowledged, .. } = envelope.order else {
             return None;
@@ -219,7 +220,8 @@
             .last_listing
             .borrow_mut()
             .unacknowledged(boot, acknowledged);
-        let (announced, listing) = kept?;
+        let (announced, mut listing) = kept?;
+        listing.is_partial = true;
         let detail = format!("ends={} after {acknowledged}", listing.ended.len());
         let log = &self.shared.log;
         log.emit(Event::EndsKept, boot.id.clone(), detail);
--- a/crates/roles/tests/sidecar.rs
+++ b/crates/roles/tests/sidecar.rs
@@ -379,6 +379,36 @@
     });
 }
 
+/// A draining worker that did not answer for a moment was answered for with an older listing as if
+/// that were complete. The placer gave up a run that the worker had accepted since, and started it
+/// again while it was at work.
+#[test]
+fn listing_in_place_of_a_worker_proves_no_end_of_a_run_that_it_lacks() {
+    Runtime::new().expect("a runtime").block_on(async {
+        let fixture = Fixture::start().await;
+        let worker = fixture.worker.clone();
+        worker.listing.borrow_mut().ended = vec![ended(1, 0)];
+        fixture.heartbeat(false).await;
+        let start = fixture.order(1, start(1));
+        let drain = async {
+            sleep(START_TIME / 2).await;
+            fixture.heartbeat(true).await;
+            fixture.poll(1).await
+        };
+        let (accepted, before) = futures_util::future::join(start, drain).await;
+
+        worker.is_silent.set(true);
+        let answer = fixture.poll(1).await;
+
+        assert_eq!((accepted, ends(&before)), (Answer::Accepted, vec![1]));
+        let proves_end = match &answer {
+            Answer::Listed(_, l) => !l.is_partial && l.running.iter().all(|r| r.task != task(1)),
+            _ => false,
+        };
+        assert!(!proves_end, "{answer:?}");
+    });
+}
+
 /// The sidecar stopped watching a draining worker when that refused one poll.
 #[test]
 fn end_on_a_draining_worker_is_kept_after_a_refused_poll() {
