Record what an order has done also if its caller is gone

What callers would see: a task runs again after its end was taken note of (TWICE).

Cause: a sidecar handled an order within the call of the placer, which ends with its connection. If the placer was killed while an acknowledgement or a start had no answer yet, the sidecar forgot that it had sent it: the worker's next incarnation was not put on hold, and a run on a worker on hold was not stopped. The worker forgot an end that nobody had seen.

Orders now go on when their call ends.

--- a/crates/roles/src/fleet/sidecar/mod.rs
+++ b/crates/roles/src/fleet/sidecar/mod.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use compio::net::TcpListener;
 use compio::time::sleep;
+use futures_channel::oneshot;
 use hibiscusbarrow_adapters::clients::Shares;
 use hibiscusbarrow_adapters::http::Limits;
 use hibiscusbarrow_adapters::http::Reply;
@@ -287,7 +288,13 @@
             }
         };
         self.last_order.set(self.shared.clock.now());
-        let answer = self.handle_order(envelope).await;
+        // The call ends with its connection. What an order has done must be recorded all the same.
+        let (sender, receiver) = oneshot::channel();
+        compio::runtime::spawn(async move {
+            let _ = sender.send(self.handle_order(envelope).await);
+        })
+        .detach();
+        let answer = receiver.await.unwrap_or(Answer::Silent);
         ForwardReply {
             code: Code::Done,
             body: Bytes::from(serde_json::to_vec(&answer).expect("an answer can be serialized")),
--- a/tests/testsuite/fleet.rs
+++ b/tests/testsuite/fleet.rs
@@ -858,3 +858,169 @@
         .filter(|r| r.ended.is_some_and(|e| e.1 == "stopped"));
     assert!(stopped.count() >= 2, "the first end was not forgotten");
 }
+
+/// Guards against an acknowledgement without an answer that no one remembers, as the placer that sent it
+/// is killed: the next incarnation of the worker forgets its first end, and the task runs again.
+#[test]
+fn killed_placer_leaves_its_unanswered_acknowledgement_known() {
+    let mut fleet = Fleet::start(2, 2);
+    let placer = fleet.placer();
+    let number = leave_acknowledgement_unanswered(&fleet, Duration::from_millis(800));
+    fleet.kill(placer);
+    std::thread::sleep(Duration::from_millis(50));
+
+    restart_under_same_identifier(&fleet, number);
+    fleet.wait_for("the late acknowledgement", |f| {
+        !f.workers[number].has_open_calls()
+    });
+
+    assert_no_end_is_missed(&fleet, 1 - placer);
+}
+
+/// Guards against the same if the sidecar is killed together with its worker.
+#[test]
+fn sidecar_killed_with_its_worker_misses_no_end_of_the_next_one() {
+    let mut fleet = Fleet::start(1, 2);
+    let number = leave_acknowledgement_unanswered(&fleet, Duration::from_millis(800));
+    fleet.kill(1 + number);
+
+    restart_under_same_identifier(&fleet, number);
+    fleet.spawn(1 + number);
+    fleet.wait_for("the late acknowledgement", |f| {
+        !f.workers[number].has_open_calls()
+    });
+
+    assert_no_end_is_missed(&fleet, 0);
+}
+
+/// Guards against the same if the acknowledgement is carried out after the next incarnation has listed
+/// its first end.
+#[test]
+fn late_acknowledgement_for_a_former_sidecar_is_refused() {
+    let mut fleet = Fleet::start(1, 1);
+    let first = standin::job(&[(8, 1)], 100);
+    assert_eq!(
+        fleet.call(0, "POST", "/pairs/00000000000000a3", &first).0,
+        200
+    );
+    fleet.wait_for("a job to complete", |f| {
+        f.get_body(0, "/pairs/00000000000000a3")
+            .contains("completed")
+    });
+    leave_acknowledgement_unanswered(&fleet, Duration::from_secs(5));
+    fleet.kill(1);
+    restart_under_same_identifier(&fleet, 0);
+    fleet.spawn(1);
+
+    let second = standin::job(&[(6, 1)], 4_500);
+    let path = "/pairs/00000000000000a2";
+    assert_eq!(fleet.call(0, "POST", path, &second).0, 200);
+    fleet.wait_for("the late acknowledgement", |f| {
+        !f.workers[0].has_open_calls()
+    });
+
+    fleet.wait_for("the second job to complete", |f| {
+        f.get_body(0, path).contains("completed")
+    });
+    fleet.assert_done_once();
+}
+
+/// Guards against a run on a worker on hold that goes on, as the placer that started it is killed before
+/// its start is answered: the worker forgets its end, and the task runs again.
+#[test]
+fn start_of_a_killed_placer_on_a_worker_on_hold_is_stopped() {
+    let mut fleet = Fleet::start(2, 2);
+    let number = put_on_hold(&fleet);
+    let worker = &fleet.workers[number];
+    worker.delay_calls(CallKind::Start, 1, Duration::from_millis(300));
+    let both = standin::job(&[(2, 8)], 1_500);
+    assert_eq!(
+        fleet.call(0, "POST", "/pairs/00000000000000a2", &both).0,
+        200
+    );
+    fleet.wait_for("a start without an answer", |_| {
+        worker.delayed_calls(CallKind::Start) == 1
+    });
+    let placer = fleet.placer();
+
+    fleet.kill(placer);
+
+    assert_no_end_is_missed(&fleet, 1 - placer);
+}
+
+/// Guards against a run on a worker on hold that ends before the worker carries out its stop: the worker
+/// forgets its end, and the task runs again.
+#[test]
+fn run_on_hold_that_ends_before_its_stop_is_not_missed() {
+    let fleet = Fleet::start(1, 2);
+    let number = put_on_hold(&fleet);
+    let worker = &fleet.workers[number];
+    worker.delay_calls(CallKind::Stop, 3, Duration::from_secs(8));
+
+    assert_no_end_is_missed(&fleet, 0);
+}
+
+/// Lets a worker crash and forget the first end of its next incarnation, which is on hold. Returns its
+/// number.
+fn put_on_hold(fleet: &Fleet) -> usize {
+    let number = leave_acknowledgement_unanswered(fleet, Duration::from_millis(800));
+    restart_under_same_identifier(fleet, number);
+    fleet.wait_for("the late acknowledgement", |f| {
+        !f.workers[number].has_open_calls()
+    });
+    std::thread::sleep(Duration::from_secs(2));
+    number
+}
+
+/// Guards against a hold that ends as the sidecar starts again.
+#[test]
+fn sidecar_restarted_while_its_worker_is_on_hold_misses_no_end() {
+    let mut fleet = Fleet::start(1, 2);
+    let number = put_on_hold(&fleet);
+
+    fleet.kill(1 + number);
+    fleet.spawn(1 + number);
+
+    assert_no_end_is_missed(&fleet, 0);
+}
+
+/// Lets a worker run a task and leave the acknowledgement of its end unanswered, to be carried out
+/// `delay` later. Returns its number.
+fn leave_acknowledgement_unanswered(fleet: &Fleet, delay: Duration) -> usize {
+    let first = standin::job(&[(1, 1)], 500);
+    assert_eq!(fleet.call(0, "POST", JOB_PATH, &first).0, 200);
+    fleet.wait_for("the first job to run", |f| {
+        f.workers.iter().any(|w| !w.running().is_empty())
+    });
+    let is_busy = |w: &standin::WorkerStandin| !w.running().is_empty();
+    let number = fleet.workers.iter().position(is_busy);
+    let number = number.expect("a worker runs the first job");
+    let worker = &fleet.workers[number];
+    worker.delay_calls(CallKind::Acknowledgement, 1, delay);
+    fleet.wait_for("the acknowledgement", |_| {
+        worker.delayed_calls(CallKind::Acknowledgement) == 1
+    });
+    number
+}
+
+/// Crashes a worker and starts it again under its identifier. Its sidecar hears of it a second later.
+fn restart_under_same_identifier(fleet: &Fleet, number: usize) {
+    let worker = &fleet.workers[number];
+    worker.delay_heartbeats(Duration::from_millis(1_200));
+    worker.crash();
+    std::thread::sleep(Duration::from_millis(300));
+    worker.restart(&worker.id(), 1_700_000_000_001);
+}
+
+/// Completes a job whose two tasks take a worker each. No task may start after its end.
+fn assert_no_end_is_missed(fleet: &Fleet, gateway: usize) {
+    let both = standin::job(&[(2, 8)], 1_500);
+    let path = "/pairs/00000000000000a2";
+    fleet.wait_for("the second job to be accepted", |f| {
+        f.call(gateway, "POST", path, &both).0 == 200
+    });
+    fleet.wait_for("the job to complete", |f| {
+        f.get_body(gateway, path).contains("completed")
+    });
+    fleet.assert_done_once();
+}
