Put the wording of the departures right

The loopback networks of the tests have names for their numbers. No behaviour, bound or check changes.

--- a/crates/fleet/src/departure.rs
+++ b/crates/fleet/src/departure.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 /// The time between the last stop and the departure. A sidecar whose share of the processor is
-/// used up may pause for a tenth of a second.
+/// used up may pause for 100 ms.
 const STOP_MARGIN: Duration = Duration::from_millis(150);
 
 /// The announced departure of an incarnation.
--- a/crates/fleet/src/last_listing.rs
+++ b/crates/fleet/src/last_listing.rs
@@ -12,7 +12,7 @@
 use std::fmt::Write;
 use std::time::Duration;
 
-/// The most runs and ends that a summary names.
+/// The most runs, and the most ends, that a description names.
 const MAX_NAMED: usize = 8;
 
 /// The newest listing of a draining incarnation.
--- a/tests/testsuite/fleet_harness.rs
+++ b/tests/testsuite/fleet_harness.rs
@@ -52,10 +52,14 @@
     pub children: BTreeMap<String, Child>,
 }
 
-/// Returns the loopback address of a process of a fleet; the store has index 200. Test runs beside
-/// each other use different networks.
+/// The first loopback network of fleets, and how many there are. Two test runs beside each other
+/// share one only if their process numbers agree modulo the count.
+const FIRST_NETWORK: u32 = 16;
+const NETWORKS: u32 = 200;
+
+/// Returns the loopback address of a process of a fleet; the store has index 200.
 fn process_ip(fleet: u32, process: usize) -> String {
-    let network = 16 + std::process::id() % 200;
+    let network = FIRST_NETWORK + std::process::id() % NETWORKS;
     format!("127.{network}.{fleet}.{}", process + 1)
 }
 
